--- /dev/null
+++ b/src/coordination/fleet_view.cc
@@ -0,0 +1,96 @@
+#include "coordination/fleet_view.h"
+
+#include <memory>
+#include <utility>
+
+#include "state/object_reader.h"
+
+namespace daisywinch {
+
+namespace {
+
+template <typename Document>
+using Reader = std::optional<Document> (*)(const boost::json::value&,
+                                           FaultList&);
+
+/// Parses and validates a document; sets the reason if it is not valid.
+template <typename Document>
+std::optional<Document> ParseDocument(std::string_view name,
+                                      std::string_view text,
+                                      Reader<Document> read,
+                                      std::string& reason) {
+  FaultList faults(name);
+  const std::optional<boost::json::value> json = ParseJson(text, faults);
+  std::optional<Document> document;
+  if (json) {
+    document = read(*json, faults);
+  }
+  reason = faults.ToString();
+  return document;
+}
+
+}  // namespace
+
+FleetView::FleetView(SnapshotHolder& snapshots) : snapshots(snapshots) {}
+
+Acceptance FleetView::OfferConfiguration(std::string_view text) {
+  std::optional<Configuration> offered = ParseDocument<Configuration>(
+      "configuration", text, ReadConfiguration, this->last_reason);
+  if (!offered) {
+    return Acceptance::kInvalid;
+  }
+  if (this->configuration && offered->version <= this->configuration->version) {
+    return offered->version == this->configuration->version
+               ? Acceptance::kSame
+               : Acceptance::kOlder;
+  }
+  this->configuration = std::move(offered);
+  this->configuration_text = text;
+  this->Publish();
+  return Acceptance::kInForce;
+}
+
+Acceptance FleetView::OfferVmList(std::string_view text) {
+  std::optional<VmList> offered =
+      ParseDocument<VmList>("vms", text, ReadVmList, this->last_reason);
+  if (!offered) {
+    return Acceptance::kInvalid;
+  }
+  if (!this->vm_list_text.empty() &&
+      offered->version <= this->vm_list.version) {
+    return offered->version == this->vm_list.version ? Acceptance::kSame
+                                                     : Acceptance::kOlder;
+  }
+  this->vm_list = std::move(*offered);
+  this->vm_list_text = text;
+  this->Publish();
+  return Acceptance::kInForce;
+}
+
+void FleetView::SetSuspected(const std::set<std::string>& vms) {
+  if (vms != this->suspected) {
+    this->suspected = vms;
+    this->Publish();
+  }
+}
+
+std::uint64_t FleetView::ConfigurationVersion() const {
+  return this->configuration ? this->configuration->version : 0;
+}
+
+std::uint64_t FleetView::VmListVersion() const {
+  return this->vm_list.version;
+}
+
+bool FleetView::IsReady() const {
+  return this->configuration && !this->vm_list_text.empty();
+}
+
+void FleetView::Publish() {
+  if (this->IsReady()) {
+    this->snapshots.Publish(std::make_shared<const Snapshot>(
+        *this->configuration, this->vm_list, this->suspected));
+  }
+}
+
+}  // namespace daisywinch
--- /dev/null
+++ b/src/daisywinch/commands.cc
@@ -0,0 +1,253 @@
+#include "daisywinch/commands.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+#include <string>
+
+#include <absl/flags/flag.h>
+
+#include "daisywinch/operator_client.h"
+#include "node/node.h"
+#include "state/answers.h"
+#include "state/configuration.h"
+#include "state/configuration_difference.h"
+#include "state/event_log.h"
+#include "state/key_digest.h"
+#include "state/object_reader.h"
+#include "state/settings.h"
+
+ABSL_FLAG(std::string, settings, "", "file with the settings of a node");
+ABSL_FLAG(std::string,
+          answers,
+          "",
+          "file with the answers to the questionnaire");
+ABSL_FLAG(std::string, configuration, "", "file with a configuration");
+ABSL_FLAG(std::string,
+          previous,
+          "",
+          "file with the configuration that was generated before");
+ABSL_FLAG(std::string, output, "", "file to write; standard output if empty");
+ABSL_FLAG(std::string, node, "", "operator address of a node, IP:PORT");
+ABSL_FLAG(std::string, customer, "", "name of a customer; all if empty");
+ABSL_FLAG(bool, verbose, false, "log information, not only warnings");
+
+namespace daisywinch {
+
+namespace {
+
+constexpr int kKeyBytes = 24;
+
+std::optional<std::string> ReadFile(const std::string& name) {
+  std::ifstream file(name, std::ios::binary);
+  if (!file) {
+    std::cerr << name << ": cannot be read; check the name and its rights\n";
+    return std::nullopt;
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+/// Writes a file whole or not at all.
+bool WriteFile(const std::string& name, const std::string& text) {
+  if (name.empty()) {
+    std::cout << text;
+    return true;
+  }
+  const std::string temporary = name + ".new";
+  std::ofstream file(temporary, std::ios::binary);
+  file << text;
+  file.close();
+  std::error_code error;
+  if (file) {
+    std::filesystem::rename(temporary, name, error);
+  }
+  if (!file || error) {
+    std::cerr << name << ": cannot be written; check the folder's rights\n";
+    return false;
+  }
+  return true;
+}
+
+/// Reads one document of a file; prints every fault.
+template <typename Document>
+std::optional<Document> ReadDocument(
+    const std::string& name,
+    std::optional<Document> (*read)(const boost::json::value&, FaultList&)) {
+  const std::optional<std::string> text = ReadFile(name);
+  if (!text) {
+    return std::nullopt;
+  }
+  FaultList faults(name);
+  const std::optional<boost::json::value> json = ParseJson(*text, faults);
+  std::optional<Document> document;
+  if (json) {
+    document = read(*json, faults);
+  }
+  std::cerr << faults.ToString();
+  return document;
+}
+
+bool RequireFlag(const std::string& value, std::string_view name) {
+  if (value.empty()) {
+    std::cerr << "--" << name << " is missing; see \"daisywinch help\"\n";
+  }
+  return !value.empty();
+}
+
+int RunNode() {
+  const std::string name = absl::GetFlag(FLAGS_settings);
+  if (!RequireFlag(name, "settings")) {
+    return EXIT_FAILURE;
+  }
+  const std::optional<Settings> settings = ReadDocument(name, ReadSettings);
+  if (!settings) {
+    return EXIT_FAILURE;
+  }
+  InitializeEventLog(absl::GetFlag(FLAGS_verbose) ? Severity::kInformation
+                                                  : Severity::kWarning);
+  Node node(*settings);
+  return node.Run();
+}
+
+/// Whether the next configuration may follow the previous one.
+bool CheckSuccession(const Configuration& previous, const Configuration& next) {
+  if (previous.deployment != next.deployment) {
+    std::cerr << "/deployment: was \"" << previous.deployment
+              << "\"; use the previous configuration of this deployment\n";
+    return false;
+  }
+  const std::string difference = DescribeDifference(previous, next);
+  std::cerr << "version " << previous.version << " -> " << next.version << "\n"
+            << (difference.empty() ? "nothing else differs\n" : difference);
+  if (next.version <= previous.version) {
+    std::cerr << "/version: is not above " << previous.version
+              << ", which is published already; start again from the answers "
+                 "of that version and raise it to "
+              << previous.version + 1 << "\n";
+    return false;
+  }
+  return true;
+}
+
+int RunGenerate() {
+  const std::string name = absl::GetFlag(FLAGS_answers);
+  if (!RequireFlag(name, "answers")) {
+    return EXIT_FAILURE;
+  }
+  const std::optional<Configuration> configuration =
+      ReadDocument(name, GenerateConfiguration);
+  if (!configuration) {
+    return EXIT_FAILURE;
+  }
+  const std::string previous_name = absl::GetFlag(FLAGS_previous);
+  if (!previous_name.empty()) {
+    const std::optional<Configuration> previous =
+        ReadDocument(previous_name, ReadConfiguration);
+    if (!previous || !CheckSuccession(*previous, *configuration)) {
+      return EXIT_FAILURE;
+    }
+  }
+  const std::string text =
+      boost::json::serialize(WriteConfiguration(*configuration)) + "\n";
+  return WriteFile(absl::GetFlag(FLAGS_output), text) ? EXIT_SUCCESS
+                                                      : EXIT_FAILURE;
+}
+
+int RunKeygen() {
+  const std::string key = RandomHex(kKeyBytes);
+  std::cout << "key:    " << key << "\ndigest: " << Sha256Hex(key) << "\n";
+  return EXIT_SUCCESS;
+}
+
+int RunCheck() {
+  int checked = 0;
+  bool valid = true;
+  const auto check = [&](const std::string& name, auto read) {
+    if (!name.empty()) {
+      ++checked;
+      valid = ReadDocument(name, read).has_value() && valid;
+    }
+  };
+  check(absl::GetFlag(FLAGS_settings), ReadSettings);
+  check(absl::GetFlag(FLAGS_answers), GenerateConfiguration);
+  check(absl::GetFlag(FLAGS_configuration), ReadConfiguration);
+  if (checked == 0) {
+    std::cerr << "nothing to check; name a file with --settings, --answers or "
+                 "--configuration\n";
+    return EXIT_FAILURE;
+  }
+  return valid ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+/// Asks a node and prints its answer.
+int Ask(const std::string& target) {
+  const std::string node = absl::GetFlag(FLAGS_node);
+  if (!RequireFlag(node, "node")) {
+    return EXIT_FAILURE;
+  }
+  const std::optional<Address> address = ParseAddress(node);
+  if (!address) {
+    std::cerr << "--node: is not an address; write an IP number and a port, "
+                 "such as 10.0.0.7:8080\n";
+    return EXIT_FAILURE;
+  }
+  OperatorClient client(*address);
+  const std::optional<std::string> answer = client.Get(target);
+  if (!answer) {
+    std::cerr << node << ": " << client.LastReason()
+              << "; check that the node runs and that this is its operator "
+                 "address\n";
+    return EXIT_FAILURE;
+  }
+  std::cout << *answer << "\n";
+  return EXIT_SUCCESS;
+}
+
+int RunStatus() {
+  return Ask("/status");
+}
+
+int RunExplain() {
+  return Ask("/explain?customer=" + absl::GetFlag(FLAGS_customer));
+}
+
+constexpr std::array kCommands = {
+    Command{"node", "runs the node of this VM",
+            "daisywinch node --settings=FILE [--verbose]", RunNode},
+    Command{"generate", "makes the configuration from the answers",
+            "daisywinch generate --answers=FILE [--previous=FILE] "
+            "[--output=FILE]",
+            RunGenerate},
+    Command{"keygen", "makes a key and the digest that goes in the answers",
+            "daisywinch keygen", RunKeygen},
+    Command{"check", "validates settings, answers or a configuration",
+            "daisywinch check [--settings=FILE] [--answers=FILE] "
+            "[--configuration=FILE]",
+            RunCheck},
+    Command{"status", "tells what a node believes",
+            "daisywinch status --node=IP:PORT", RunStatus},
+    Command{"explain", "tells why the last requests were refused",
+            "daisywinch explain --node=IP:PORT [--customer=NAME]", RunExplain},
+};
+
+}  // namespace
+
+std::span<const Command> AllCommands() {
+  return kCommands;
+}
+
+const Command* FindCommand(std::string_view name) {
+  const auto found = std::find_if(
+      kCommands.begin(), kCommands.end(),
+      [name](const Command& command) { return command.name == name; });
+  return found == kCommands.end() ? nullptr : &*found;
+}
+
+}  // namespace daisywinch
--- /dev/null
+++ b/src/daisywinch/main.cc
@@ -0,0 +1,60 @@
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+
+#include "daisywinch/commands.h"
+
+namespace {
+
+std::string Usage() {
+  std::string text =
+      "daisywinch: overload control for service call graphs\n\n"
+      "  daisywinch COMMAND [--FLAG=VALUE ...]\n\n";
+  for (const daisywinch::Command& command : daisywinch::AllCommands()) {
+    std::string name(command.name);
+    name.resize(10, ' ');
+    text += "  " + name + std::string(command.summary) + "\n";
+  }
+  return text + "\n\"daisywinch help COMMAND\" tells the flags of a command.\n";
+}
+
+/// Prints the help of one command, or of all.
+int PrintHelp(const std::string& name) {
+  const daisywinch::Command* command = daisywinch::FindCommand(name);
+  if (command == nullptr) {
+    std::cout << Usage();
+    return name.empty() ? EXIT_SUCCESS : EXIT_FAILURE;
+  }
+  std::cout << command->name << ": " << command->summary << "\n\n  "
+            << command->usage << "\n";
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage(Usage());
+  absl::FlagsUsageConfig usage_config;
+  usage_config.version_string = [] {
+    return std::string("daisywinch " DAISYWINCH_VERSION "\n");
+  };
+  absl::SetFlagsUsageConfig(usage_config);
+  const std::vector<char*> words = absl::ParseCommandLine(argc, argv);
+  const std::string name = words.size() > 1 ? words[1] : "";
+  if (name.empty() || name == "help") {
+    return PrintHelp(words.size() > 2 ? words[2] : "");
+  }
+  const daisywinch::Command* command = daisywinch::FindCommand(name);
+  if (command == nullptr || words.size() > 2) {
+    std::cerr << "\"" << (command == nullptr ? name : words[2])
+              << "\" is not understood; \"daisywinch help\" lists the "
+                 "commands\n";
+    return EXIT_FAILURE;
+  }
+  return command->run();
+}
--- /dev/null
+++ b/src/daisywinch/operator_client.cc
@@ -0,0 +1,25 @@
+#include "daisywinch/operator_client.h"
+
+#include "transport/http_fetch.h"
+
+namespace daisywinch {
+
+OperatorClient::OperatorClient(const Address& address) : address(address) {}
+
+std::optional<std::string> OperatorClient::Get(const std::string& target) {
+  ErrorCode error;
+  const std::optional<HttpResponse> response =
+      FetchBlocking(this->address, HttpRequest(http::verb::get, target, 11),
+                    FetchLimits(), error);
+  if (!response) {
+    this->last_reason = "does not answer: " + error.message();
+    return std::nullopt;
+  }
+  if (response->result() != http::status::ok) {
+    this->last_reason = "answers " + std::to_string(response->result_int());
+    return std::nullopt;
+  }
+  return response->body();
+}
+
+}  // namespace daisywinch
--- /dev/null
+++ b/src/node/entry.cc
@@ -0,0 +1,348 @@
+#include "node/entry.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "state/key_digest.h"
+#include "transport/call_client.h"
+
+namespace daisywinch {
+
+namespace {
+
+constexpr std::string_view kBearerPrefix = "Bearer ";
+constexpr double kRetryBudgetCapacity = 100;
+constexpr double kInitialRetryRatio = 0.1;
+constexpr int kServerError = 500;
+constexpr std::size_t kLongestIdempotencyKey = 256;
+constexpr int kRootIdBytes = 4;
+
+/// Whether a request that ended like this has cost the target its work.
+bool IsServerError(const protocol::CallReply& reply) {
+  return reply.outcome() == protocol::OUTCOME_ANSWERED &&
+         reply.status() >= kServerError;
+}
+
+std::string_view BearerKey(const HttpRequest& request) {
+  const std::string_view value = request[http::field::authorization];
+  return value.starts_with(kBearerPrefix) ? value.substr(kBearerPrefix.size())
+                                          : std::string_view();
+}
+
+/// Removes the query parameters that hold the key.
+std::string RemoveKeyFromQuery(std::string_view target, std::string_view key) {
+  const std::size_t question_mark = target.find('?');
+  if (key.empty() || question_mark == std::string_view::npos) {
+    return std::string(target);
+  }
+  std::string cleaned(target.substr(0, question_mark));
+  char separator = '?';
+  std::string_view query = target.substr(question_mark + 1);
+  while (!query.empty()) {
+    const std::size_t ampersand = query.find('&');
+    const std::string_view parameter = query.substr(0, ampersand);
+    query = ampersand == std::string_view::npos ? std::string_view()
+                                                : query.substr(ampersand + 1);
+    if (parameter.find(key) == std::string_view::npos) {
+      cleaned += separator;
+      cleaned += parameter;
+      separator = '&';
+    }
+  }
+  return cleaned;
+}
+
+/// Copies to the message what the target may see of the request.
+void FillMessage(HttpRequest& request, protocol::CallRequest& message) {
+  const std::string key(BearerKey(request));
+  message.set_method(std::string(request.method_string()));
+  message.set_path(RemoveKeyFromQuery(request.target(), key));
+  RemoveHopByHopFields(request);
+  request.erase(http::field::authorization);
+  request.erase(kHandleHeader);
+  request.erase(kTimeoutHeader);
+  request.erase(kIdempotencyKeyHeader);
+  for (const http::fields::value_type& field : request) {
+    const std::string_view value = field.value();
+    if (!key.empty() && value.find(key) != std::string_view::npos) {
+      continue;
+    }
+    protocol::Header* header = message.add_headers();
+    header->set_name(std::string(field.name_string()));
+    header->set_value(std::string(value));
+  }
+  message.set_body(std::move(request.body()));
+}
+
+/// The caller's own timeout, bounded by the route's.
+Duration TimeoutFor(const HttpRequest& request, const Route& route) {
+  const std::string_view text = request[kTimeoutHeader];
+  std::int64_t milliseconds = 0;
+  const std::from_chars_result result =
+      std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+  if (text.empty() || result.ec != std::errc() || milliseconds < 0) {
+    return route.timeout;
+  }
+  return std::min<Duration>(route.timeout,
+                            std::chrono::milliseconds(milliseconds));
+}
+
+HttpResponse MakeResponse(protocol::CallReply reply) {
+  if (reply.outcome() != protocol::OUTCOME_ANSWERED) {
+    return MakeProblem(Describe(reply.reason()));
+  }
+  HttpResponse response(static_cast<http::status>(reply.status()), 11);
+  for (const protocol::Header& header : reply.headers()) {
+    response.insert(header.name(), header.value());
+  }
+  response.body() = std::move(*reply.mutable_body());
+  response.prepare_payload();
+  return response;
+}
+
+}  // namespace
+
+Entry::Entry(asio::io_context& context,
+             const Clock& clock,
+             const Settings& settings,
+             std::uint64_t seed,
+             const SnapshotHolder& snapshots,
+             HandleTable& handles,
+             CallSender& sender)
+    : context(context),
+      clock(clock),
+      data_centre(settings.data_centre),
+      snapshots(snapshots),
+      handles(handles),
+      sender(sender),
+      chooser(settings.data_centre, seed),
+      retry_budget(kInitialRetryRatio, kRetryBudgetCapacity),
+      rate_limiter(settings.data_centre, clock),
+      root_id_prefix(settings.vm + "-" + RandomHex(kRootIdBytes) + "-") {}
+
+Awaitable<HttpResponse> Entry::Handle(
+    HttpRequest request,
+    std::shared_ptr<Cancellation> cancellation) {
+  const TimePoint started = this->clock.Now();
+  RefusalReason reason = RefusalReason::kNone;
+  std::optional<Call> call = this->Admit(request, reason);
+  if (!call) {
+    co_return MakeProblem(Describe(reason));
+  }
+  const bool is_onward = !call->parent_handle.empty();
+  std::uint64_t onward_call = 0;
+  if (is_onward) {
+    call->retries_left = this->handles.TakeRetries(call->parent_handle);
+    onward_call =
+        this->handles.AddOnwardCall(call->parent_handle, [this, cancellation] {
+          asio::post(this->context, [cancellation] { cancellation->Cancel(); });
+        });
+  }
+  protocol::CallReply reply =
+      co_await this->SendWithRetries(*call, cancellation);
+  if (is_onward) {
+    this->handles.RemoveOnwardCall(call->parent_handle, onward_call);
+    this->handles.ReturnRetries(call->parent_handle, call->retries_left);
+  }
+  const Duration total = this->clock.Now() - started;
+  const Duration added =
+      total - std::chrono::microseconds(reply.target_microseconds());
+  const std::uint32_t reason_number =
+      reply.outcome() == protocol::OUTCOME_ANSWERED ? 0 : reply.reason();
+  this->metrics.Record(call->context.customer, call->route->request_class,
+                       reason_number, total, added);
+  if (reason_number != 0) {
+    this->journal.Add(
+        {this->clock.Now(), call->context.customer, call->route->name,
+         static_cast<RefusalReason>(reason_number), call->context.root_id});
+  }
+  co_return MakeResponse(std::move(reply));
+}
+
+std::optional<Entry::Call> Entry::Admit(HttpRequest& request,
+                                        RefusalReason& reason) {
+  Call call;
+  call.snapshot = this->snapshots.Load();
+  if (!call.snapshot) {
+    reason = RefusalReason::kNotReady;
+    return std::nullopt;
+  }
+  call.route =
+      call.snapshot->Routes().Find(request.method_string(), request.target());
+  const bool admitted = this->Identify(request, call, reason);
+  if (!admitted) {
+    this->journal.Add({this->clock.Now(), call.context.customer,
+                       call.route == nullptr ? "" : call.route->name, reason,
+                       call.context.root_id});
+    this->metrics.Record(call.context.customer, call.context.request_class,
+                         static_cast<std::uint32_t>(reason), Duration::zero(),
+                         Duration::zero());
+    return std::nullopt;
+  }
+  call.idempotency_key = std::string(request[kIdempotencyKeyHeader]);
+  protocol::CallRequest& message = call.message;
+  message.set_route(call.route->name);
+  message.set_customer(call.context.customer);
+  message.set_request_class(
+      static_cast<std::uint32_t>(call.context.request_class));
+  message.set_repeatable(call.route->repeatable);
+  message.set_root_id(call.context.root_id);
+  message.set_idempotency_key(call.idempotency_key);
+  message.set_configuration_version(
+      call.snapshot->CurrentConfiguration().version);
+  FillMessage(request, message);
+  return call;
+}
+
+bool Entry::Identify(const HttpRequest& request,
+                     Call& call,
+                     RefusalReason& reason) {
+  const std::string handle(request[kHandleHeader]);
+  const std::string_view key = BearerKey(request);
+  const Configuration& configuration = call.snapshot->CurrentConfiguration();
+  const bool is_open = call.route != nullptr && call.route->open;
+  if (!handle.empty()) {
+    const std::optional<CallContext> parent =
+        this->handles.Find(handle, reason);
+    if (!parent) {
+      return false;
+    }
+    call.parent_handle = handle;
+    call.context = *parent;
+  } else if (!key.empty()) {
+    const std::string* customer = call.snapshot->Keys().FindCustomer(key);
+    if (customer == nullptr && !is_open) {
+      reason = RefusalReason::kUnknownKey;
+      return false;
+    }
+    call.context.customer = customer == nullptr ? "" : *customer;
+  } else if (!is_open) {
+    reason = RefusalReason::kUnknownKey;
+    return false;
+  }
+  if (call.route == nullptr) {
+    reason = RefusalReason::kUnknownRoute;
+    return false;
+  }
+  if (call.route->retired) {
+    reason = RefusalReason::kRouteRetired;
+    return false;
+  }
+  if (!is_open && !call.route->Admits(call.context.customer)) {
+    reason = RefusalReason::kRouteNotAllowed;
+    return false;
+  }
+  if (request[kIdempotencyKeyHeader].size() > kLongestIdempotencyKey) {
+    reason = RefusalReason::kHeaderTooLarge;
+    return false;
+  }
+  const TimePoint own_deadline =
+      this->clock.Now() + TimeoutFor(request, *call.route);
+  if (!handle.empty()) {
+    call.context.deadline = std::min(call.context.deadline, own_deadline);
+    return true;
+  }
+  call.context.deadline = own_deadline;
+  call.context.request_class = call.route->request_class;
+  call.context.root_id =
+      this->root_id_prefix + std::to_string(this->next_root_id++);
+  call.retries_left = configuration.tree_retries;
+  if (this->draining) {
+    reason = RefusalReason::kDraining;
+    return false;
+  }
+  if (!call.context.customer.empty() &&
+      !this->rate_limiter.Take(*call.snapshot, call.context.customer)) {
+    reason = RefusalReason::kOverRate;
+    return false;
+  }
+  return true;
+}
+
+Awaitable<protocol::CallReply> Entry::SendWithRetries(
+    Call& call,
+    std::shared_ptr<Cancellation> cancellation) {
+  this->retry_budget.SetRatio(
+      call.snapshot->CurrentConfiguration().retry_ratio);
+  this->retry_budget.AddFreshCall();
+  const std::string hash_key =
+      call.route->repeatable || call.idempotency_key.empty()
+          ? std::string()
+          : call.context.customer + "\n" + call.idempotency_key;
+  std::set<std::string> tried;
+  protocol::CallReply reply = MakeRefusedReply(RefusalReason::kNoTarget);
+  while (true) {
+    const Vm* target = this->chooser.Choose(*call.snapshot, call.route->service,
+                                            call.context.request_class,
+                                            hash_key, tried, this->clock.Now());
+    if (target == nullptr) {
+      co_return reply;
+    }
+    tried.insert(target->name);
+    reply = co_await this->SendOnce(call, *target, cancellation);
+    call.retries_left = reply.retries_left();
+    if (cancellation->IsCancelled() || !this->MayRetry(call, reply)) {
+      co_return reply;
+    }
+    --call.retries_left;
+  }
+}
+
+Awaitable<protocol::CallReply> Entry::SendOnce(
+    Call& call,
+    const Vm& target,
+    std::shared_ptr<Cancellation> cancellation) {
+  protocol::CallRequest message = call.message;
+  message.set_retries_left(call.retries_left);
+  this->chooser.CallStarted(target.name);
+  protocol::CallReply reply = co_await this->sender.Send(
+      target, std::move(message), call.context.deadline, cancellation);
+  this->chooser.CallEnded(target.name);
+  this->TakeReply(target.name, reply);
+  const bool gate_kept_count = reply.has_load();
+  if (!gate_kept_count && reply.outcome() == protocol::OUTCOME_NOT_RUN) {
+    reply.set_retries_left(call.retries_left);
+  }
+  co_return reply;
+}
+
+bool Entry::MayRetry(const Call& call, const protocol::CallReply& reply) {
+  const RefusalReason reason = static_cast<RefusalReason>(reply.reason());
+  const bool overloaded = reason == RefusalReason::kShedByGate ||
+                          reason == RefusalReason::kDeadlineTooShort;
+  const bool not_run =
+      reply.outcome() == protocol::OUTCOME_NOT_RUN && !overloaded;
+  const bool failed =
+      reply.outcome() == protocol::OUTCOME_UNKNOWN || IsServerError(reply);
+  const bool useful = not_run || (failed && call.route->repeatable);
+  return useful && call.retries_left > 0 &&
+         this->clock.Now() < call.context.deadline &&
+         this->retry_budget.TakeRetry();
+}
+
+void Entry::TakeReply(const std::string& vm, const protocol::CallReply& reply) {
+  const TimePoint now = this->clock.Now();
+  if (!reply.has_load()) {
+    this->chooser.TakeFailure(vm, now);
+    return;
+  }
+  const protocol::GateLoad& load = reply.load();
+  GateReport report;
+  report.in_flight = static_cast<int>(load.in_flight());
+  report.queued = static_cast<int>(load.queued());
+  report.limit = static_cast<int>(load.limit());
+  report.admitted_class = static_cast<RequestClass>(
+      std::min<std::uint32_t>(load.admitted_class(), kRequestClassCount - 1));
+  report.draining = load.draining();
+  this->chooser.TakeReport(vm, report, now);
+  const RefusalReason reason = static_cast<RefusalReason>(reply.reason());
+  if (reason == RefusalReason::kTargetUnreachable ||
+      reason == RefusalReason::kAnswerLost) {
+    this->chooser.TakeFailure(vm, now);
+  }
+}
+
+}  // namespace daisywinch
--- /dev/null
+++ b/src/node/gate_router.cc
@@ -0,0 +1,81 @@
+#include "node/gate_router.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+
+namespace daisywinch {
+
+GateRouter::GateRouter(asio::io_context& context,
+                       asio::ssl::context& tls,
+                       const Clock& clock,
+                       std::string own_vm,
+                       std::size_t size_limit,
+                       asio::io_context& gate_context,
+                       Gate& own_gate)
+    : context(context),
+      tls(tls),
+      clock(clock),
+      own_vm(std::move(own_vm)),
+      size_limit(size_limit),
+      gate_context(gate_context),
+      own_gate(own_gate) {}
+
+Awaitable<protocol::CallReply> GateRouter::Send(
+    Vm vm,
+    protocol::CallRequest request,
+    TimePoint deadline,
+    std::shared_ptr<Cancellation> cancellation) {
+  if (vm.name == this->own_vm) {
+    co_return co_await this->SendToOwnGate(std::move(request), deadline,
+                                           cancellation);
+  }
+  std::shared_ptr<CallClient>& client =
+      this->clients[vm.peer_address.ToString()];
+  if (!client) {
+    client = std::make_shared<CallClient>(this->context, this->tls, this->clock,
+                                          vm.peer_address, this->size_limit);
+  }
+  const std::shared_ptr<CallClient> kept = client;
+  co_return co_await kept->Call(std::move(request), deadline, cancellation);
+}
+
+Awaitable<protocol::CallReply> GateRouter::SendToOwnGate(
+    protocol::CallRequest request,
+    TimePoint deadline,
+    std::shared_ptr<Cancellation> cancellation) {
+  const Duration remaining = deadline - this->clock.Now();
+  request.set_remaining_microseconds(std::max<std::int64_t>(
+      0, std::chrono::duration_cast<std::chrono::microseconds>(remaining)
+             .count()));
+  const std::shared_ptr<Cancellation> gate_cancellation =
+      std::make_shared<Cancellation>();
+  cancellation->SetAction([this, gate_cancellation] {
+    asio::post(this->gate_context,
+               [gate_cancellation] { gate_cancellation->Cancel(); });
+  });
+  protocol::CallReply reply = co_await asio::co_spawn(
+      this->gate_context,
+      this->own_gate.Handle(std::move(request), gate_cancellation),
+      asio::use_awaitable);
+  cancellation->ClearAction();
+  co_return reply;
+}
+
+void GateRouter::Close() {
+  for (const auto& [address, client] : this->clients) {
+    client->Close();
+  }
+}
+
+std::uint64_t GateRouter::UnmatchedReplies() const {
+  std::uint64_t sum = 0;
+  for (const auto& [address, client] : this->clients) {
+    sum += client->UnmatchedReplies();
+  }
+  return sum;
+}
+
+}  // namespace daisywinch
--- /dev/null
+++ b/src/node/gate_router.h
@@ -0,0 +1,58 @@
+#ifndef DAISYWINCH_NODE_GATE_ROUTER_H
+#define DAISYWINCH_NODE_GATE_ROUTER_H
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "node/call_sender.h"
+#include "node/gate.h"
+#include "state/clock.h"
+#include "transport/call_client.h"
+
+namespace daisywinch {
+
+/// Sends calls to the gates of other nodes over the network, and to the own
+/// gate across threads.
+///
+/// Runs on the entry's thread.
+class GateRouter : public CallSender {
+ public:
+  GateRouter(asio::io_context& context,
+             asio::ssl::context& tls,
+             const Clock& clock,
+             std::string own_vm,
+             std::size_t size_limit,
+             asio::io_context& gate_context,
+             Gate& own_gate);
+
+  Awaitable<protocol::CallReply> Send(
+      Vm vm,
+      protocol::CallRequest request,
+      TimePoint deadline,
+      std::shared_ptr<Cancellation> cancellation) override;
+
+  void Close();
+  std::uint64_t UnmatchedReplies() const;
+
+ private:
+  Awaitable<protocol::CallReply> SendToOwnGate(
+      protocol::CallRequest request,
+      TimePoint deadline,
+      std::shared_ptr<Cancellation> cancellation);
+
+  asio::io_context& context;
+  asio::ssl::context& tls;
+  const Clock& clock;
+  std::string own_vm;
+  std::size_t size_limit;
+  asio::io_context& gate_context;
+  Gate& own_gate;
+  /// Clients by peer address: a VM that moved gets a new connection.
+  std::unordered_map<std::string, std::shared_ptr<CallClient>> clients;
+};
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_NODE_GATE_ROUTER_H
--- /dev/null
+++ b/src/node/node.cc
@@ -0,0 +1,208 @@
+#include "node/node.h"
+
+#include <csignal>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "state/event_log.h"
+#include "state/key_digest.h"
+#include "transport/psk_context.h"
+
+namespace daisywinch {
+
+namespace {
+
+constexpr int kIncarnationBytes = 6;
+constexpr std::size_t kFrameOverhead = 64 * 1024;
+constexpr std::chrono::milliseconds kDrainCheckInterval{20};
+constexpr char kConfigurationValue[] = "daisywinch.configuration";
+constexpr char kVmListValue[] = "vms";
+
+HttpLimits CallerLimits(const Settings& settings) {
+  HttpLimits limits;
+  limits.body_bytes = settings.body_limit;
+  return limits;
+}
+
+std::uint64_t RandomSeed() {
+  return std::stoull(RandomHex(sizeof(std::uint64_t)), nullptr, 16);
+}
+
+}  // namespace
+
+Node::Node(const Settings& settings)
+    : settings(settings),
+      incarnation(RandomHex(kIncarnationBytes)),
+      handles(this->incarnation),
+      entry_tls(MakePskContext(settings.fleet_secret)),
+      gate_tls(MakePskContext(settings.fleet_secret)),
+      fleet_view(this->snapshots),
+      gate(this->gate_context,
+           this->clock,
+           this->settings,
+           this->snapshots,
+           this->handles),
+      router(this->entry_context,
+             this->entry_tls,
+             this->clock,
+             settings.vm,
+             settings.body_limit + kFrameOverhead,
+             this->gate_context,
+             this->gate),
+      entry(this->entry_context,
+            this->clock,
+            this->settings,
+            RandomSeed(),
+            this->snapshots,
+            this->handles,
+            this->router),
+      caller_server(this->entry_context,
+                    CallerLimits(settings),
+                    [this](HttpRequest request,
+                           std::shared_ptr<Cancellation> cancellation) {
+                      return this->entry.Handle(std::move(request),
+                                                std::move(cancellation));
+                    }),
+      call_server(this->gate_context,
+                  this->gate_tls,
+                  settings.body_limit + kFrameOverhead,
+                  [this](protocol::CallRequest request,
+                         std::shared_ptr<Cancellation> cancellation) {
+                    return this->gate.Handle(std::move(request),
+                                             std::move(cancellation));
+                  }),
+      operator_service(this->settings,
+                       this->incarnation,
+                       this->fleet_view,
+                       this->entry_context,
+                       this->entry,
+                       this->gate_context,
+                       this->gate),
+      operator_server(this->control_context,
+                      HttpLimits(),
+                      [this](HttpRequest request,
+                             std::shared_ptr<Cancellation> cancellation) {
+                        return this->operator_service.Handle(
+                            std::move(request), std::move(cancellation));
+                      }),
+      configuration_watcher(
+          this->control_context,
+          settings.platform_address,
+          kConfigurationValue,
+          [this](const std::string& text) { this->TakeConfiguration(text); }),
+      vm_list_watcher(
+          this->control_context,
+          settings.platform_address,
+          kVmListValue,
+          [this](const std::string& text) { this->TakeVmList(text); }),
+      signals(this->control_context, SIGTERM, SIGINT) {}
+
+int Node::Run() {
+  if (!this->Listen()) {
+    return EXIT_FAILURE;
+  }
+  this->configuration_watcher.Start();
+  this->vm_list_watcher.Start();
+  asio::co_spawn(this->control_context, this->ShutDownOnSignal(),
+                 asio::detached);
+  LogEvent(EventId::kNodeStarted,
+           {{"vm", this->settings.vm}, {"incarnation", this->incarnation}});
+  const asio::executor_work_guard entry_work =
+      asio::make_work_guard(this->entry_context);
+  const asio::executor_work_guard gate_work =
+      asio::make_work_guard(this->gate_context);
+  std::thread entry_thread([this] { this->entry_context.run(); });
+  std::thread gate_thread([this] { this->gate_context.run(); });
+  this->control_context.run();
+  entry_thread.join();
+  gate_thread.join();
+  return EXIT_SUCCESS;
+}
+
+bool Node::Listen() {
+  const auto report = [](const Address& address, const ErrorCode& error) {
+    if (error) {
+      LogEvent(EventId::kPortUnavailable,
+               {{"address", address.ToString()}, {"reason", error.message()}});
+    }
+    return !error;
+  };
+  return report(this->settings.caller_address,
+                this->caller_server.Listen(this->settings.caller_address)) &&
+         report(this->settings.peer_address,
+                this->call_server.Listen(this->settings.peer_address)) &&
+         report(this->settings.operator_address,
+                this->operator_server.Listen(this->settings.operator_address));
+}
+
+void Node::TakeConfiguration(const std::string& text) {
+  switch (this->fleet_view.OfferConfiguration(text)) {
+    case Acceptance::kInForce:
+      LogEvent(EventId::kConfigurationInForce,
+               {{"version", this->fleet_view.ConfigurationVersion()}});
+      this->ReportReadiness();
+      break;
+    case Acceptance::kInvalid:
+      LogEvent(EventId::kConfigurationRefused,
+               {{"reason", this->fleet_view.LastReason()}});
+      break;
+    case Acceptance::kOlder:
+      LogEvent(EventId::kVersionBehind, {{"document", "configuration"}});
+      break;
+    case Acceptance::kSame:
+      break;
+  }
+}
+
+void Node::TakeVmList(const std::string& text) {
+  switch (this->fleet_view.OfferVmList(text)) {
+    case Acceptance::kInForce:
+      LogEvent(EventId::kVmListInForce,
+               {{"version", this->fleet_view.VmListVersion()}});
+      this->ReportReadiness();
+      break;
+    case Acceptance::kInvalid:
+      LogEvent(EventId::kVmListRefused,
+               {{"reason", this->fleet_view.LastReason()}});
+      break;
+    case Acceptance::kOlder:
+      LogEvent(EventId::kVersionBehind, {{"document", "vms"}});
+      break;
+    case Acceptance::kSame:
+      break;
+  }
+}
+
+void Node::ReportReadiness() {
+  if (this->fleet_view.IsReady() && !this->reported_ready) {
+    this->reported_ready = true;
+    LogEvent(EventId::kNodeReady, {{"vm", this->settings.vm}});
+  }
+}
+
+Awaitable<> Node::ShutDownOnSignal() {
+  ErrorCode error;
+  co_await this->signals.async_wait(Await(error));
+  LogEvent(EventId::kShutdownStarted, {{"vm", this->settings.vm}});
+  this->entry.Drain();
+  this->gate.Drain();
+  const TimePoint latest = this->clock.Now() + this->settings.shutdown_timeout;
+  const auto is_idle = [this] {
+    return this->gate.CallsInProgress() == 0 &&
+           this->caller_server.RequestsInProgress() == 0;
+  };
+  while (!is_idle() && this->clock.Now() < latest) {
+    Timer timer(this->control_context, kDrainCheckInterval);
+    co_await timer.async_wait(Await(error));
+  }
+  if (!is_idle()) {
+    LogEvent(EventId::kShutdownTimedOut, {});
+  }
+  LogEvent(EventId::kShutdownFinished, {{"vm", this->settings.vm}});
+  this->entry_context.stop();
+  this->gate_context.stop();
+  this->control_context.stop();
+}
+
+}  // namespace daisywinch
--- /dev/null
+++ b/src/node/operator_service.h
@@ -0,0 +1,51 @@
+#ifndef DAISYWINCH_NODE_OPERATOR_SERVICE_H
+#define DAISYWINCH_NODE_OPERATOR_SERVICE_H
+
+#include <memory>
+#include <string>
+
+#include <boost/json.hpp>
+
+#include "coordination/fleet_view.h"
+#include "node/entry.h"
+#include "node/gate.h"
+#include "state/settings.h"
+#include "transport/asio.h"
+#include "transport/cancellation.h"
+#include "transport/http.h"
+
+namespace daisywinch {
+
+/// Answers operators: `/status`, `/explain` and `/metrics`.
+///
+/// Runs on the control thread and asks the other threads for what is theirs.
+class OperatorService {
+ public:
+  OperatorService(const Settings& settings,
+                  std::string incarnation,
+                  const FleetView& fleet_view,
+                  asio::io_context& entry_context,
+                  const Entry& entry,
+                  asio::io_context& gate_context,
+                  const Gate& gate);
+
+  Awaitable<HttpResponse> Handle(HttpRequest request,
+                                 std::shared_ptr<Cancellation> cancellation);
+
+ private:
+  Awaitable<std::string> Status();
+  Awaitable<std::string> Explain(std::string customer);
+  Awaitable<std::string> Metrics();
+
+  const Settings& settings;
+  std::string incarnation;
+  const FleetView& fleet_view;
+  asio::io_context& entry_context;
+  const Entry& entry;
+  asio::io_context& gate_context;
+  const Gate& gate;
+};
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_NODE_OPERATOR_SERVICE_H
--- /dev/null
+++ b/src/node/refusal_journal.h
@@ -0,0 +1,35 @@
+#ifndef DAISYWINCH_NODE_REFUSAL_JOURNAL_H
+#define DAISYWINCH_NODE_REFUSAL_JOURNAL_H
+
+#include <deque>
+#include <string>
+
+#include "state/clock.h"
+#include "state/refusal.h"
+
+namespace daisywinch {
+
+/// One refusal, as "explain" shows it.
+struct RefusalRecord {
+  TimePoint time;
+  std::string customer;
+  std::string route;
+  RefusalReason reason = RefusalReason::kNone;
+  std::string root_id;
+};
+
+/// Remembers the last refusals of a node.
+class RefusalJournal {
+ public:
+  void Add(const RefusalRecord& record);
+
+  /// The newest refusals last.
+  const std::deque<RefusalRecord>& Records() const { return this->records; }
+
+ private:
+  std::deque<RefusalRecord> records;
+};
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_NODE_REFUSAL_JOURNAL_H
--- /dev/null
+++ b/src/protocol/frame_codec.cc
@@ -0,0 +1,55 @@
+#include "protocol/frame_codec.h"
+
+#include <cstdint>
+
+#include <boost/endian/conversion.hpp>
+
+namespace daisywinch {
+
+std::string EncodeFrame(const protocol::CallFrame& frame) {
+  std::string bytes(kFrameHeaderSize, '\0');
+  frame.AppendToString(&bytes);
+  boost::endian::store_big_u32(
+      reinterpret_cast<unsigned char*>(bytes.data()),
+      static_cast<std::uint32_t>(bytes.size() - kFrameHeaderSize));
+  return bytes;
+}
+
+FrameDecoder::FrameDecoder(std::size_t size_limit) : size_limit(size_limit) {}
+
+void FrameDecoder::Append(std::string_view bytes) {
+  if (this->consumed == this->buffer.size()) {
+    this->buffer.clear();
+    this->consumed = 0;
+  }
+  this->buffer.append(bytes);
+}
+
+std::optional<protocol::CallFrame> FrameDecoder::Next() {
+  const std::size_t available = this->buffer.size() - this->consumed;
+  if (!this->last_reason.empty() || available < kFrameHeaderSize) {
+    return std::nullopt;
+  }
+  const char* start = this->buffer.data() + this->consumed;
+  const std::size_t size = boost::endian::load_big_u32(
+      reinterpret_cast<const unsigned char*>(start));
+  if (size > this->size_limit) {
+    this->last_reason = "frame of " + std::to_string(size) +
+                        " bytes is over the limit of " +
+                        std::to_string(this->size_limit);
+    return std::nullopt;
+  }
+  if (available < kFrameHeaderSize + size) {
+    return std::nullopt;
+  }
+  protocol::CallFrame frame;
+  if (!frame.ParseFromArray(start + kFrameHeaderSize, static_cast<int>(size)) ||
+      frame.content_case() == protocol::CallFrame::CONTENT_NOT_SET) {
+    this->last_reason = "frame does not hold a known message";
+    return std::nullopt;
+  }
+  this->consumed += kFrameHeaderSize + size;
+  return frame;
+}
+
+}  // namespace daisywinch
--- /dev/null
+++ b/src/state/configuration_difference.cc
@@ -0,0 +1,57 @@
+#include "state/configuration_difference.h"
+
+#include <map>
+
+#include <boost/json.hpp>
+
+namespace daisywinch {
+
+namespace {
+
+/// Descriptions of the parts of a configuration by their label.
+std::map<std::string, std::string> DescribeParts(
+    const Configuration& configuration) {
+  std::map<std::string, std::string> parts;
+  for (const boost::json::key_value_pair& field :
+       WriteConfiguration(configuration)) {
+    const std::string name = field.key();
+    if (name == "version") {
+      continue;
+    }
+    if (!field.value().is_array()) {
+      parts[name] = boost::json::serialize(field.value());
+      continue;
+    }
+    for (const boost::json::value& item : field.value().get_array()) {
+      const std::string item_name(item.at("name").as_string());
+      parts[name + " \"" + item_name + "\""] = boost::json::serialize(item);
+    }
+  }
+  return parts;
+}
+
+}  // namespace
+
+std::string DescribeDifference(const Configuration& previous,
+                               const Configuration& next) {
+  std::map<std::string, std::string> removed = DescribeParts(previous);
+  std::string text;
+  for (const auto& [label, description] : DescribeParts(next)) {
+    const auto before = removed.find(label);
+    if (before == removed.end()) {
+      text += "added " + label + ": " + description + "\n";
+      continue;
+    }
+    if (before->second != description) {
+      text += "changed " + label + ": " + before->second + " -> " +
+              description + "\n";
+    }
+    removed.erase(before);
+  }
+  for (const auto& [label, description] : removed) {
+    text += "removed " + label + "\n";
+  }
+  return text;
+}
+
+}  // namespace daisywinch
--- /dev/null
+++ b/src/state/handle_table.cc
@@ -0,0 +1,94 @@
+#include "state/handle_table.h"
+
+#include <utility>
+
+#include "state/key_digest.h"
+
+namespace daisywinch {
+
+namespace {
+
+constexpr int kHandleBytes = 16;
+
+}  // namespace
+
+HandleTable::HandleTable(std::string incarnation)
+    : incarnation(std::move(incarnation)) {}
+
+std::string HandleTable::Open(const CallContext& context,
+                              std::uint32_t retries) {
+  const std::string handle = this->incarnation + "." + RandomHex(kHandleBytes);
+  const std::lock_guard lock(this->mutex);
+  Record& record = this->records[handle];
+  record.context = context;
+  record.retries = retries;
+  return handle;
+}
+
+std::uint32_t HandleTable::Close(const std::string& handle) {
+  Record record;
+  {
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->records.find(handle);
+    if (found == this->records.end()) {
+      return 0;
+    }
+    record = std::move(found->second);
+    this->records.erase(found);
+  }
+  for (const auto& [call, cancel] : record.onward_calls) {
+    cancel();
+  }
+  return record.retries;
+}
+
+std::optional<CallContext> HandleTable::Find(const std::string& handle,
+                                             RefusalReason& reason) const {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->records.find(handle);
+  if (found != this->records.end()) {
+    return found->second.context;
+  }
+  const bool is_own = handle.starts_with(this->incarnation + ".");
+  reason = is_own ? RefusalReason::kHandleEnded : RefusalReason::kHandleForeign;
+  return std::nullopt;
+}
+
+std::uint32_t HandleTable::TakeRetries(const std::string& handle) {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->records.find(handle);
+  return found == this->records.end() ? 0
+                                      : std::exchange(found->second.retries, 0);
+}
+
+void HandleTable::ReturnRetries(const std::string& handle,
+                                std::uint32_t retries) {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->records.find(handle);
+  if (found != this->records.end()) {
+    found->second.retries += retries;
+  }
+}
+
+std::uint64_t HandleTable::AddOnwardCall(const std::string& handle,
+                                         std::function<void()> cancel) {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->records.find(handle);
+  if (found == this->records.end()) {
+    return 0;
+  }
+  const std::uint64_t call = this->next_call++;
+  found->second.onward_calls[call] = std::move(cancel);
+  return call;
+}
+
+void HandleTable::RemoveOnwardCall(const std::string& handle,
+                                   std::uint64_t call) {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->records.find(handle);
+  if (found != this->records.end()) {
+    found->second.onward_calls.erase(call);
+  }
+}
+
+}  // namespace daisywinch
--- /dev/null
+++ b/src/state/object_reader.cc
@@ -0,0 +1,254 @@
+#include "state/object_reader.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace daisywinch {
+
+namespace {
+
+constexpr std::size_t kMaximumDepth = 16;
+
+std::string FormatNumber(double number) {
+  if (number == std::floor(number) && std::abs(number) < 1e15) {
+    return std::to_string(static_cast<std::int64_t>(number));
+  }
+  return std::to_string(number);
+}
+
+std::string LineAndColumn(std::string_view text, std::size_t offset) {
+  const std::string_view before = text.substr(0, offset);
+  const std::ptrdiff_t line =
+      1 + std::count(before.begin(), before.end(), '\n');
+  const std::size_t line_start = before.rfind('\n');
+  const std::size_t column =
+      line_start == std::string_view::npos ? offset + 1 : offset - line_start;
+  return "line " + std::to_string(line) + ", column " + std::to_string(column);
+}
+
+std::string EscapePointerToken(std::string_view name) {
+  std::string token;
+  for (const char character : name) {
+    if (character == '~') {
+      token += "~0";
+    } else if (character == '/') {
+      token += "~1";
+    } else {
+      token += character;
+    }
+  }
+  return token;
+}
+
+}  // namespace
+
+std::optional<boost::json::value> ParseJson(std::string_view text,
+                                            FaultList& faults) {
+  boost::json::parse_options options;
+  options.allow_comments = true;
+  options.allow_trailing_commas = true;
+  options.max_depth = kMaximumDepth;
+  boost::json::stream_parser parser({}, options);
+  boost::json::error_code error;
+  const std::size_t consumed =
+      parser.write_some(text.data(), text.size(), error);
+  if (!error && consumed < text.size()) {
+    error = boost::json::error::extra_data;
+  }
+  if (!error) {
+    parser.finish(error);
+  }
+  if (error) {
+    faults.Add(LineAndColumn(text, std::min(consumed, text.size())),
+               "is not JSON: " + error.message(),
+               "correct the text there; comments and trailing commas are fine");
+    return std::nullopt;
+  }
+  return parser.release();
+}
+
+ObjectReader::ObjectReader(const boost::json::value& value,
+                           std::string pointer,
+                           FaultList& faults)
+    : object(value.if_object()), pointer(std::move(pointer)), faults(&faults) {
+  if (this->object == nullptr) {
+    this->faults->Add(this->pointer, "is not an object",
+                      "write an object in braces here");
+  }
+}
+
+std::string ObjectReader::PointerTo(std::string_view name) const {
+  return this->pointer + "/" + EscapePointerToken(name);
+}
+
+const boost::json::value* ObjectReader::Find(std::string_view name,
+                                             bool required) {
+  this->known_fields.emplace(name);
+  if (this->object == nullptr) {
+    return nullptr;
+  }
+  const boost::json::value* value =
+      this->object->if_contains({name.data(), name.size()});
+  if (value == nullptr && required) {
+    this->AddFault(name, "is missing", "add this field");
+  }
+  return value;
+}
+
+void ObjectReader::AddFault(std::string_view name,
+                            std::string_view problem,
+                            std::string_view remedy) {
+  this->faults->Add(this->PointerTo(name), problem, remedy);
+}
+
+std::string ObjectReader::String(std::string_view name) {
+  const boost::json::value* value = this->Find(name, true);
+  if (value == nullptr) {
+    return {};
+  }
+  if (!value->is_string()) {
+    this->AddFault(name, "is not a string", "write it in double quotes");
+    return {};
+  }
+  if (value->get_string().empty()) {
+    this->AddFault(name, "is empty", "give it a value");
+  }
+  return std::string(value->get_string());
+}
+
+std::string ObjectReader::String(std::string_view name,
+                                 std::string_view fallback) {
+  if (this->Find(name, false) == nullptr) {
+    return std::string(fallback);
+  }
+  return this->String(name);
+}
+
+double ObjectReader::Number(std::string_view name, const NumberRange& range) {
+  const boost::json::value* value = this->Find(name, true);
+  if (value == nullptr) {
+    return range.lowest;
+  }
+  if (!value->is_number()) {
+    this->AddFault(name, "is not a number", "write a number without quotes");
+    return range.lowest;
+  }
+  const double number = value->to_number<double>();
+  if (!(number >= range.lowest && number <= range.highest)) {
+    this->AddFault(name, "is out of range",
+                   "use a number from " + FormatNumber(range.lowest) + " to " +
+                       FormatNumber(range.highest));
+    return range.lowest;
+  }
+  return number;
+}
+
+double ObjectReader::Number(std::string_view name,
+                            const NumberRange& range,
+                            double fallback) {
+  if (this->Find(name, false) == nullptr) {
+    return fallback;
+  }
+  return this->Number(name, range);
+}
+
+std::int64_t ObjectReader::Integer(std::string_view name,
+                                   const NumberRange& range) {
+  const double number = this->Number(name, range);
+  if (number != std::floor(number)) {
+    this->AddFault(name, "is not a whole number",
+                   "write it without a fraction");
+    return static_cast<std::int64_t>(range.lowest);
+  }
+  return static_cast<std::int64_t>(number);
+}
+
+std::int64_t ObjectReader::Integer(std::string_view name,
+                                   const NumberRange& range,
+                                   std::int64_t fallback) {
+  if (this->Find(name, false) == nullptr) {
+    return fallback;
+  }
+  return this->Integer(name, range);
+}
+
+bool ObjectReader::Boolean(std::string_view name, bool fallback) {
+  const boost::json::value* value = this->Find(name, false);
+  if (value == nullptr) {
+    return fallback;
+  }
+  if (!value->is_bool()) {
+    this->AddFault(name, "is not true or false", "write true or false");
+    return fallback;
+  }
+  return value->get_bool();
+}
+
+std::vector<std::string> ObjectReader::Strings(std::string_view name) {
+  std::vector<std::string> strings;
+  const boost::json::value* value = this->Find(name, false);
+  if (value == nullptr) {
+    return strings;
+  }
+  if (!value->is_array()) {
+    this->AddFault(name, "is not a list", "write a list in square brackets");
+    return strings;
+  }
+  for (const boost::json::value& item : value->get_array()) {
+    if (item.is_string()) {
+      strings.emplace_back(item.get_string());
+      continue;
+    }
+    this->faults->Add(
+        this->PointerTo(name) + "/" + std::to_string(strings.size()),
+        "is not a string", "write it in double quotes");
+    strings.emplace_back();
+  }
+  return strings;
+}
+
+std::vector<ObjectReader> ObjectReader::Objects(std::string_view name) {
+  std::vector<ObjectReader> readers;
+  const boost::json::value* value = this->Find(name, true);
+  if (value == nullptr) {
+    return readers;
+  }
+  if (!value->is_array()) {
+    this->AddFault(name, "is not a list", "write a list in square brackets");
+    return readers;
+  }
+  for (const boost::json::value& item : value->get_array()) {
+    readers.emplace_back(
+        item, this->PointerTo(name) + "/" + std::to_string(readers.size()),
+        *this->faults);
+  }
+  return readers;
+}
+
+void ObjectReader::ReportUnknownFields() {
+  if (this->object == nullptr) {
+    return;
+  }
+  for (const boost::json::key_value_pair& field : *this->object) {
+    const std::string_view name(field.key().data(), field.key().size());
+    if (this->known_fields.find(name) == this->known_fields.end()) {
+      this->AddFault(name, "is not a known field",
+                     "remove it or correct its spelling");
+    }
+  }
+}
+
+void ReportDuplicates(const std::vector<std::string>& names,
+                      std::string_view pointer,
+                      FaultList& faults) {
+  std::set<std::string> seen;
+  for (std::size_t index = 0; index < names.size(); ++index) {
+    if (!seen.insert(names[index]).second) {
+      faults.Add(std::string(pointer) + "/" + std::to_string(index),
+                 "repeats the name \"" + names[index] + "\"",
+                 "give each its own name");
+    }
+  }
+}
+
+}  // namespace daisywinch
--- /dev/null
+++ b/src/state/refusal.h
@@ -0,0 +1,62 @@
+#ifndef DAISYWINCH_STATE_REFUSAL_H
+#define DAISYWINCH_STATE_REFUSAL_H
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace daisywinch {
+
+/// Why a request was refused. The numbers are part of the interface.
+enum class RefusalReason : std::uint32_t {
+  kNone = 0,
+  kMalformedRequest = 100,
+  kUnknownKey = 101,
+  kRouteNotAllowed = 103,
+  kUnknownRoute = 104,
+  kRouteRetired = 105,
+  kOverRate = 106,
+  kBodyTooLarge = 107,
+  kHeaderTooLarge = 108,
+  kNoTarget = 201,
+  kShedByGate = 202,
+  kDeadlineTooShort = 203,
+  kDraining = 204,
+  kShedByTarget = 205,
+  kShedByEntry = 206,
+  kTargetUnreachable = 207,
+  kAnswerLost = 301,
+  kDeadlinePassed = 302,
+  kRepeatUnknown = 303,
+  kAnswerTooLarge = 304,
+  kRepeatInProgress = 305,
+  kHandleEnded = 401,
+  kHandleForeign = 402,
+  kNotReady = 501,
+};
+
+/// Whether the request may have run.
+enum class Execution { kNotRun, kUnknown };
+
+std::string_view ToString(Execution execution);
+
+/// A reason with all that a caller is told about it.
+struct Refusal {
+  RefusalReason reason = RefusalReason::kNone;
+  int status = 0;
+  Execution execution = Execution::kNotRun;
+  /// The same request may succeed a little later.
+  bool retry_helps = false;
+  std::string_view title;
+};
+
+/// The description of a reason; an unknown number is described as kAnswerLost.
+const Refusal& Describe(RefusalReason reason);
+const Refusal& Describe(std::uint32_t reason_number);
+
+/// All reasons in the order of their numbers.
+std::span<const Refusal> AllRefusals();
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_STATE_REFUSAL_H
--- /dev/null
+++ b/src/state/snapshot.h
@@ -0,0 +1,66 @@
+#ifndef DAISYWINCH_STATE_SNAPSHOT_H
+#define DAISYWINCH_STATE_SNAPSHOT_H
+
+#include <atomic>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "state/configuration.h"
+#include "state/key_table.h"
+#include "state/route_table.h"
+#include "state/vm_list.h"
+
+namespace daisywinch {
+
+/// Everything that traffic threads decide by; never changes once published.
+class Snapshot {
+ public:
+  Snapshot(Configuration configuration,
+           VmList vm_list,
+           std::set<std::string> suspected_vms);
+
+  // Tables point into the configuration.
+  Snapshot(const Snapshot&) = delete;
+  Snapshot& operator=(const Snapshot&) = delete;
+
+  const Configuration& CurrentConfiguration() const {
+    return this->configuration;
+  }
+  const VmList& CurrentVmList() const { return this->vm_list; }
+  const KeyTable& Keys() const { return this->keys; }
+  const RouteTable& Routes() const { return this->routes; }
+
+  /// VMs of a service that may be given new work: listed, not leaving, and in
+  /// a data centre that is in service.
+  const std::vector<Vm>& Targets(std::string_view service) const;
+
+  bool IsSuspected(std::string_view vm) const;
+
+ private:
+  Configuration configuration;
+  VmList vm_list;
+  KeyTable keys;
+  RouteTable routes;
+  std::unordered_map<std::string, std::vector<Vm>> targets_by_service;
+  std::set<std::string, std::less<>> suspected_vms;
+};
+
+/// Hands the newest snapshot from the control thread to traffic threads.
+class SnapshotHolder {
+ public:
+  std::shared_ptr<const Snapshot> Load() const { return this->current.load(); }
+  void Publish(std::shared_ptr<const Snapshot> next) {
+    this->current.store(std::move(next));
+  }
+
+ private:
+  std::atomic<std::shared_ptr<const Snapshot>> current;
+};
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_STATE_SNAPSHOT_H
--- /dev/null
+++ b/src/state/target_chooser.h
@@ -0,0 +1,84 @@
+#ifndef DAISYWINCH_STATE_TARGET_CHOOSER_H
+#define DAISYWINCH_STATE_TARGET_CHOOSER_H
+
+#include <cstdint>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "state/clock.h"
+#include "state/configuration.h"
+#include "state/snapshot.h"
+
+namespace daisywinch {
+
+/// What a gate said of itself on its last answer.
+struct GateReport {
+  int in_flight = 0;
+  int queued = 0;
+  int limit = 1;
+  /// Least important class that the gate admits.
+  RequestClass admitted_class = RequestClass::kBackground;
+  bool draining = false;
+};
+
+/// Chooses the target for each call of one entry.
+///
+/// Picks the less loaded of two random targets ("The Power of Two Choices in
+/// Randomized Load Balancing", Mitzenmacher 2001), the own data centre first.
+class TargetChooser {
+ public:
+  TargetChooser(std::string data_centre, std::uint64_t seed);
+
+  /// The target for a call; null if there is none outside `excluded`.
+  ///
+  /// A call with an idempotency key goes to the target that rendezvous
+  /// hashing gives the key, wherever it is, so that repeats meet each other
+  /// ("Using Name-Based Mappings to Increase Hit Rates", Thaler, Ravishankar
+  /// 1998).
+  const Vm* Choose(const Snapshot& snapshot,
+                   std::string_view service,
+                   RequestClass request_class,
+                   std::string_view idempotency_key,
+                   const std::set<std::string>& excluded,
+                   TimePoint now);
+
+  void CallStarted(const std::string& vm);
+  void CallEnded(const std::string& vm);
+  void TakeReport(const std::string& vm,
+                  const GateReport& report,
+                  TimePoint now);
+  /// A target that could not be reached is left alone for a while.
+  void TakeFailure(const std::string& vm, TimePoint now);
+
+  /// Whether a target would admit the class, by its last report.
+  bool Admits(const std::string& vm,
+              RequestClass request_class,
+              TimePoint now) const;
+
+ private:
+  struct TargetState {
+    int own_in_flight = 0;
+    GateReport report;
+    TimePoint reported_at;
+    int failures = 0;
+    TimePoint avoided_until;
+  };
+
+  const Vm* ChooseByHash(const std::vector<Vm>& targets,
+                         std::string_view idempotency_key) const;
+  const Vm* ChooseOfTwo(const std::vector<const Vm*>& candidates);
+  double LoadOf(const std::string& vm) const;
+  bool IsAvoided(const std::string& vm, TimePoint now) const;
+
+  std::string data_centre;
+  std::mt19937_64 random;
+  std::unordered_map<std::string, TargetState> states;
+};
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_STATE_TARGET_CHOOSER_H
--- /dev/null
+++ b/src/state/token_bucket.cc
@@ -0,0 +1,47 @@
+#include "state/token_bucket.h"
+
+#include <algorithm>
+
+namespace daisywinch {
+
+TokenBucket::TokenBucket(double rate,
+                         double burst,
+                         double initial,
+                         TimePoint now)
+    : rate(rate),
+      burst(burst),
+      tokens(std::min(initial, burst)),
+      refilled_at(now) {}
+
+bool TokenBucket::Take(double wanted, TimePoint now) {
+  this->Refill(now);
+  if (this->tokens < wanted) {
+    return false;
+  }
+  this->tokens -= wanted;
+  return true;
+}
+
+double TokenBucket::Available(TimePoint now) {
+  this->Refill(now);
+  return this->tokens;
+}
+
+void TokenBucket::Configure(double new_rate, double new_burst, TimePoint now) {
+  this->Refill(now);
+  this->rate = new_rate;
+  this->burst = new_burst;
+  this->tokens = std::min(this->tokens, this->burst);
+}
+
+void TokenBucket::Refill(TimePoint now) {
+  if (now <= this->refilled_at) {
+    return;
+  }
+  const std::chrono::duration<double> elapsed = now - this->refilled_at;
+  this->tokens =
+      std::min(this->burst, this->tokens + this->rate * elapsed.count());
+  this->refilled_at = now;
+}
+
+}  // namespace daisywinch
--- /dev/null
+++ b/src/transport/call_client.cc
@@ -0,0 +1,170 @@
+#include "transport/call_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace daisywinch {
+
+namespace {
+
+constexpr std::chrono::milliseconds kConnectTimeout{1000};
+
+}  // namespace
+
+protocol::CallReply MakeRefusedReply(RefusalReason reason) {
+  const Refusal& refusal = Describe(reason);
+  protocol::CallReply reply;
+  reply.set_outcome(refusal.execution == Execution::kNotRun
+                        ? protocol::OUTCOME_NOT_RUN
+                        : protocol::OUTCOME_UNKNOWN);
+  reply.set_reason(static_cast<std::uint32_t>(reason));
+  return reply;
+}
+
+CallClient::CallClient(asio::io_context& context,
+                       asio::ssl::context& tls,
+                       const Clock& clock,
+                       const Address& address,
+                       std::size_t size_limit)
+    : context(context),
+      tls(tls),
+      clock(clock),
+      address(address),
+      size_limit(size_limit) {}
+
+Awaitable<protocol::CallReply> CallClient::Call(
+    protocol::CallRequest request,
+    TimePoint deadline,
+    std::shared_ptr<Cancellation> cancellation) {
+  const std::shared_ptr<CallClient> self = this->shared_from_this();
+  const bool connected = co_await this->EnsureConnected(deadline);
+  if (!connected) {
+    co_return MakeRefusedReply(RefusalReason::kTargetUnreachable);
+  }
+  if (cancellation->IsCancelled()) {
+    co_return MakeRefusedReply(RefusalReason::kDeadlineTooShort);
+  }
+  const std::uint64_t call_id = this->next_call_id++;
+  request.set_call_id(call_id);
+  const Duration remaining = deadline - this->clock.Now();
+  request.set_remaining_microseconds(std::max<std::int64_t>(
+      0, std::chrono::duration_cast<std::chrono::microseconds>(remaining)
+             .count()));
+  const std::shared_ptr<PendingCall> call =
+      std::make_shared<PendingCall>(this->context);
+  this->pending[call_id] = call;
+  const std::shared_ptr<FrameStream> connection = this->stream;
+  protocol::CallFrame frame;
+  *frame.mutable_request() = std::move(request);
+  connection->Send(frame, [call] {
+    call->sent = !call->withdrawn;
+    return call->sent;
+  });
+
+  call->wake_up.expires_at(deadline);
+  cancellation->SetAction([call] { call->wake_up.cancel(); });
+  ErrorCode ignored;
+  if (!call->done) {
+    co_await call->wake_up.async_wait(Await(ignored));
+  }
+  cancellation->ClearAction();
+  this->pending.erase(call_id);
+  if (call->done) {
+    co_return std::move(call->reply);
+  }
+  if (!call->sent) {
+    call->withdrawn = true;
+    co_return MakeRefusedReply(RefusalReason::kDeadlineTooShort);
+  }
+  protocol::CallFrame cancel;
+  cancel.mutable_cancel()->set_call_id(call_id);
+  connection->Send(cancel);
+  co_return MakeRefusedReply(RefusalReason::kDeadlinePassed);
+}
+
+void CallClient::Close() {
+  if (this->stream) {
+    this->stream->Close();
+  }
+}
+
+Awaitable<bool> CallClient::EnsureConnected(TimePoint deadline) {
+  if (this->stream && !this->stream->IsClosed()) {
+    co_return true;
+  }
+  if (!this->connecting) {
+    this->connecting = true;
+    asio::co_spawn(this->context, this->Connect(this->shared_from_this()),
+                   asio::detached);
+  }
+  const std::shared_ptr<Timer> waiter =
+      std::make_shared<Timer>(this->context, deadline);
+  this->connection_waiters.push_back(waiter);
+  ErrorCode ignored;
+  co_await waiter->async_wait(Await(ignored));
+  co_return this->stream && !this->stream->IsClosed();
+}
+
+Awaitable<> CallClient::Connect(std::shared_ptr<CallClient> self) {
+  const std::shared_ptr<FrameStream> connection =
+      std::make_shared<FrameStream>(this->context, this->tls, this->size_limit);
+  const bool connected =
+      co_await connection->Connect(this->address, kConnectTimeout);
+  if (connected) {
+    this->stream = connection;
+    asio::co_spawn(this->context, this->ReadReplies(self, connection),
+                   asio::detached);
+  }
+  this->connecting = false;
+  for (const std::shared_ptr<Timer>& waiter :
+       std::exchange(this->connection_waiters, {})) {
+    waiter->cancel();
+  }
+}
+
+Awaitable<> CallClient::ReadReplies(std::shared_ptr<CallClient> self,
+                                    std::shared_ptr<FrameStream> connection) {
+  while (true) {
+    std::optional<protocol::CallFrame> frame = co_await connection->Read();
+    if (!frame) {
+      break;
+    }
+    if (frame->has_reply()) {
+      self->TakeReply(std::move(*frame->mutable_reply()));
+    }
+  }
+  if (self->stream == connection) {
+    self->stream.reset();
+    self->FailPendingCalls();
+  }
+}
+
+void CallClient::TakeReply(protocol::CallReply reply) {
+  const auto found = this->pending.find(reply.call_id());
+  if (found == this->pending.end()) {
+    ++this->unmatched_replies;
+    return;
+  }
+  const std::shared_ptr<PendingCall> call = found->second;
+  call->reply = std::move(reply);
+  call->done = true;
+  call->wake_up.cancel();
+}
+
+void CallClient::FailPendingCalls() {
+  for (auto& [call_id, call] : this->pending) {
+    if (call->done) {
+      continue;
+    }
+    call->reply =
+        MakeRefusedReply(call->sent ? RefusalReason::kAnswerLost
+                                    : RefusalReason::kTargetUnreachable);
+    call->done = true;
+    call->wake_up.cancel();
+  }
+}
+
+}  // namespace daisywinch
--- /dev/null
+++ b/src/transport/frame_stream.h
@@ -0,0 +1,73 @@
+#ifndef DAISYWINCH_TRANSPORT_FRAME_STREAM_H
+#define DAISYWINCH_TRANSPORT_FRAME_STREAM_H
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/ssl/stream.hpp>
+
+#include "protocol/frame_codec.h"
+#include "transport/asio.h"
+
+namespace daisywinch {
+
+/// A connection between two nodes that carries frames both ways under TLS.
+///
+/// Frames queued while one is being written go out together. Runs on the
+/// thread of its context.
+class FrameStream : public std::enable_shared_from_this<FrameStream> {
+ public:
+  using Socket = asio::ssl::stream<Tcp::socket>;
+
+  FrameStream(asio::io_context& context,
+              asio::ssl::context& tls,
+              std::size_t size_limit);
+  FrameStream(Tcp::socket socket,
+              asio::ssl::context& tls,
+              std::size_t size_limit);
+
+  /// Connects and proves the fleet's secret within the timeout.
+  Awaitable<bool> Connect(Address address, Duration timeout);
+  /// Proves the fleet's secret to a peer that connected.
+  Awaitable<bool> Accept(Duration timeout);
+
+  /// The next frame; nothing when the connection has ended.
+  Awaitable<std::optional<protocol::CallFrame>> Read();
+
+  /// Queues a frame. Asks `should_send` just before its first byte is handed
+  /// to the operating system, and drops the frame if the answer is no; never
+  /// asks if the connection ends first.
+  void Send(const protocol::CallFrame& frame,
+            std::function<bool()> should_send = nullptr);
+
+  void Close();
+  bool IsClosed() const { return this->closed; }
+
+ private:
+  struct QueuedFrame {
+    std::string bytes;
+    std::function<bool()> should_send;
+  };
+
+  Awaitable<> WriteQueue(std::shared_ptr<FrameStream> self);
+  Awaitable<bool> Handshake(asio::ssl::stream_base::handshake_type type,
+                            Duration timeout);
+  /// Closes the connection unless the guard is cancelled first.
+  Awaitable<> CloseAfter(std::shared_ptr<FrameStream> self,
+                         std::shared_ptr<Timer> guard);
+
+  Socket socket;
+  FrameDecoder decoder;
+  std::deque<QueuedFrame> queue;
+  std::array<char, 16 * 1024> read_buffer = {};
+  bool writing = false;
+  bool closed = false;
+};
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_TRANSPORT_FRAME_STREAM_H
--- /dev/null
+++ b/src/transport/http_fetch.cc
@@ -0,0 +1,54 @@
+#include "transport/http_fetch.h"
+
+#include <exception>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+namespace daisywinch {
+
+Awaitable<std::optional<HttpResponse>> Fetch(asio::io_context& context,
+                                             Address address,
+                                             HttpRequest request,
+                                             FetchLimits limits,
+                                             ErrorCode& error) {
+  boost::beast::tcp_stream stream(context);
+  stream.expires_after(limits.timeout);
+  co_await stream.async_connect(ToEndpoint(address), Await(error));
+  if (error) {
+    co_return std::nullopt;
+  }
+  request.set(http::field::host, address.ToString());
+  request.prepare_payload();
+  co_await http::async_write(stream, request, Await(error));
+  if (error) {
+    co_return std::nullopt;
+  }
+  boost::beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(limits.body_bytes);
+  co_await http::async_read(stream, buffer, parser, Await(error));
+  if (error) {
+    co_return std::nullopt;
+  }
+  co_return parser.release();
+}
+
+std::optional<HttpResponse> FetchBlocking(const Address& address,
+                                          const HttpRequest& request,
+                                          const FetchLimits& limits,
+                                          ErrorCode& error) {
+  asio::io_context context(1);
+  std::optional<HttpResponse> response;
+  asio::co_spawn(
+      context, Fetch(context, address, request, limits, error),
+      [&response](std::exception_ptr, std::optional<HttpResponse> result) {
+        response = std::move(result);
+      });
+  context.run();
+  return response;
+}
+
+}  // namespace daisywinch
--- /dev/null
+++ b/src/transport/listen.cc
@@ -0,0 +1,21 @@
+#include "transport/listen.h"
+
+namespace daisywinch {
+
+ErrorCode ListenOn(Tcp::acceptor& acceptor, const Address& address) {
+  ErrorCode error;
+  const Tcp::endpoint endpoint = ToEndpoint(address);
+  acceptor.open(endpoint.protocol(), error);
+  if (error) {
+    return error;
+  }
+  acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+  acceptor.bind(endpoint, error);
+  if (error) {
+    return error;
+  }
+  acceptor.listen(asio::socket_base::max_listen_connections, error);
+  return error;
+}
+
+}  // namespace daisywinch
--- /dev/null
+++ b/src/transport/target_client.cc
@@ -0,0 +1,131 @@
+#include "transport/target_client.h"
+
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <utility>
+
+#include <boost/beast/core/error.hpp>
+
+namespace daisywinch {
+
+namespace {
+
+using End = TargetExchange::End;
+
+/// Whether the other side closed an idle connection or sent unasked bytes.
+bool IsStale(Tcp::socket& socket) {
+  char byte = 0;
+  const ssize_t count = ::recv(socket.native_handle(), &byte, sizeof(byte),
+                               MSG_PEEK | MSG_DONTWAIT);
+  return count >= 0 || errno != EAGAIN;
+}
+
+End EndFor(const ErrorCode& error, const Cancellation& cancellation) {
+  if (cancellation.IsCancelled()) {
+    return End::kCancelled;
+  }
+  if (error == boost::beast::error::timeout) {
+    return End::kDeadline;
+  }
+  if (error == http::error::body_limit || error == http::error::header_limit) {
+    return End::kAnswerTooLarge;
+  }
+  return End::kLost;
+}
+
+}  // namespace
+
+TargetClient::TargetClient(asio::io_context& context,
+                           const Address& address,
+                           std::uint64_t body_limit)
+    : context(context), address(address), body_limit(body_limit) {}
+
+Awaitable<TargetExchange> TargetClient::Send(
+    HttpRequest request,
+    TimePoint deadline,
+    std::shared_ptr<Cancellation> cancellation) {
+  TargetExchange exchange;
+  std::shared_ptr<Connection> connection = this->TakeIdle(exchange);
+  const bool is_new = connection == nullptr;
+  if (is_new) {
+    connection = std::make_shared<Connection>(this->context);
+    ++this->connection_count;
+  }
+  cancellation->SetAction([connection] { connection->stream.close(); });
+  // tcp_stream counts by the steady clock, so the deadline goes in as a span.
+  connection->stream.expires_after(deadline - BootTime::now());
+  ErrorCode error;
+  if (is_new) {
+    co_await connection->stream.async_connect(ToEndpoint(this->address),
+                                              Await(error));
+    exchange.connection_dropped |= error == asio::error::connection_refused;
+  }
+  if (!error && !cancellation->IsCancelled()) {
+    connection->stream.socket().set_option(Tcp::no_delay(true), error);
+    co_await this->Transfer(connection, cancellation, std::move(request),
+                            exchange);
+  }
+  cancellation->ClearAction();
+  const bool reusable =
+      exchange.end == End::kAnswered && exchange.response.keep_alive();
+  if (reusable) {
+    connection->stream.expires_never();
+    this->idle.push_front(connection);
+  } else {
+    connection->stream.close();
+    --this->connection_count;
+  }
+  co_return exchange;
+}
+
+Awaitable<> TargetClient::Transfer(std::shared_ptr<Connection> connection,
+                                   std::shared_ptr<Cancellation> cancellation,
+                                   HttpRequest request,
+                                   TargetExchange& exchange) {
+  ErrorCode error;
+  co_await http::async_write(connection->stream, request, Await(error));
+  if (error) {
+    // Some bytes may have left before the error.
+    exchange.end = EndFor(error, *cancellation);
+    co_return;
+  }
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(this->body_limit);
+  if (request.method() == http::verb::head) {
+    parser.skip(true);
+  }
+  co_await http::async_read(connection->stream, connection->buffer, parser,
+                            Await(error));
+  if (error) {
+    exchange.end = EndFor(error, *cancellation);
+    co_return;
+  }
+  exchange.end = End::kAnswered;
+  exchange.response = parser.release();
+}
+
+std::shared_ptr<TargetClient::Connection> TargetClient::TakeIdle(
+    TargetExchange& exchange) {
+  while (!this->idle.empty()) {
+    const std::shared_ptr<Connection> connection = this->idle.front();
+    this->idle.pop_front();
+    if (!IsStale(connection->stream.socket())) {
+      return connection;
+    }
+    exchange.connection_dropped = true;
+    connection->stream.close();
+    --this->connection_count;
+  }
+  return nullptr;
+}
+
+void TargetClient::CloseIdleConnections() {
+  for (const std::shared_ptr<Connection>& connection : this->idle) {
+    connection->stream.close();
+    --this->connection_count;
+  }
+  this->idle.clear();
+}
+
+}  // namespace daisywinch
--- /dev/null
+++ b/tests/state/routing_test.cc
@@ -0,0 +1,134 @@
+#include <boost/test/unit_test.hpp>
+
+#include "state/route_table.h"
+#include "state/snapshot.h"
+#include "state/target_chooser.h"
+#include "support/fake_clock.h"
+#include "support/test_fleet.h"
+
+namespace daisywinch::test {
+
+namespace {
+
+Vm MakeVm(const std::string& name, const std::string& data_centre) {
+  Vm vm;
+  vm.name = name;
+  vm.data_centre = data_centre;
+  vm.service = "back";
+  return vm;
+}
+
+struct ChooserFixture {
+  ChooserFixture() : chooser("east", 1) {
+    this->vms.vms = {MakeVm("e1", "east"), MakeVm("e2", "east"),
+                     MakeVm("w1", "west"), MakeVm("w2", "west")};
+  }
+
+  Snapshot MakeSnapshot(const std::set<std::string>& suspected = {}) {
+    return Snapshot(this->configuration, this->vms, suspected);
+  }
+
+  /// How often each VM is chosen in a thousand choices.
+  std::map<std::string, int> Choices(const Snapshot& snapshot,
+                                     const std::string& key = "") {
+    std::map<std::string, int> counts;
+    for (int choice = 0; choice < 1000; ++choice) {
+      const Vm* vm = this->chooser.Choose(
+          snapshot, "back", RequestClass::kNormal, key, {}, this->clock.Now());
+      ++counts[vm == nullptr ? "none" : vm->name];
+    }
+    return counts;
+  }
+
+  Configuration configuration = MakeConfiguration(StandardAnswers(1));
+  VmList vms;
+  FakeClock clock;
+  TargetChooser chooser;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(routing)
+
+BOOST_AUTO_TEST_CASE(path_matches_by_segment) {
+  const Configuration configuration = MakeConfiguration(StandardAnswers(1));
+  const RouteTable table(configuration);
+  BOOST_TEST(table.Find("GET", "/points/7?x=/y")->name == "look-up");
+  BOOST_TEST(table.Find("GET", "/points") == nullptr);
+  BOOST_TEST(table.Find("GET", "/points/7/8") == nullptr);
+  BOOST_TEST(table.Find("POST", "/points/7") == nullptr);
+  BOOST_TEST(table.Find("GET", "points/7") == nullptr);
+  BOOST_TEST(table.Find("GET", "") == nullptr);
+}
+
+BOOST_FIXTURE_TEST_CASE(own_data_centre_comes_first, ChooserFixture) {
+  const Snapshot snapshot = this->MakeSnapshot();
+  const std::map<std::string, int> counts = this->Choices(snapshot);
+  BOOST_TEST(counts.size() == 2);
+  BOOST_TEST(counts.at("e1") > 300);
+  BOOST_TEST(counts.at("e2") > 300);
+}
+
+BOOST_FIXTURE_TEST_CASE(full_data_centre_spills, ChooserFixture) {
+  const Snapshot snapshot = this->MakeSnapshot();
+  GateReport full;
+  full.in_flight = 10;
+  full.limit = 10;
+  full.admitted_class = RequestClass::kImportant;
+  this->chooser.TakeReport("e1", full, this->clock.Now());
+  this->chooser.TakeReport("e2", full, this->clock.Now());
+  const std::map<std::string, int> counts = this->Choices(snapshot);
+  BOOST_TEST(counts.at("w1") + counts.at("w2") == 1000);
+}
+
+BOOST_FIXTURE_TEST_CASE(data_centre_taken_out_gets_nothing, ChooserFixture) {
+  this->configuration.data_centres[0].in_service = false;
+  const Snapshot snapshot = this->MakeSnapshot();
+  const std::map<std::string, int> counts = this->Choices(snapshot);
+  BOOST_TEST(counts.at("w1") + counts.at("w2") == 1000);
+}
+
+BOOST_FIXTURE_TEST_CASE(leaving_vm_gets_nothing, ChooserFixture) {
+  this->vms.vms[0].leaving = true;
+  const Snapshot snapshot = this->MakeSnapshot();
+  BOOST_TEST(this->Choices(snapshot).at("e2") == 1000);
+  for (int key = 0; key < 100; ++key) {
+    BOOST_TEST(!this->Choices(snapshot, std::to_string(key)).contains("e1"));
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(failed_target_is_tried_again_later, ChooserFixture) {
+  const Snapshot snapshot = this->MakeSnapshot();
+  this->chooser.TakeFailure("e1", this->clock.Now());
+  BOOST_TEST(!this->Choices(snapshot).contains("e1"));
+  this->clock.Advance(std::chrono::milliseconds(300));
+  BOOST_TEST(this->Choices(snapshot).contains("e1"));
+}
+
+BOOST_FIXTURE_TEST_CASE(suspected_vm_is_the_last_resort, ChooserFixture) {
+  const Snapshot one = this->MakeSnapshot({"e1"});
+  BOOST_TEST(this->Choices(one).at("e2") == 1000);
+  const Snapshot all = this->MakeSnapshot({"e1", "e2", "w1", "w2"});
+  BOOST_TEST(!this->Choices(all).contains("none"));
+}
+
+BOOST_FIXTURE_TEST_CASE(idempotency_key_always_meets_the_same_gate,
+                        ChooserFixture) {
+  const Snapshot snapshot = this->MakeSnapshot();
+  TargetChooser other("west", 2);
+  std::set<std::string> used;
+  for (int key = 0; key < 100; ++key) {
+    const std::string text = std::to_string(key);
+    const std::map<std::string, int> counts = this->Choices(snapshot, text);
+    BOOST_TEST(counts.size() == 1);
+    const Vm* elsewhere = other.Choose(snapshot, "back", RequestClass::kNormal,
+                                       text, {}, this->clock.Now());
+    BOOST_TEST(counts.begin()->first == elsewhere->name);
+    used.insert(elsewhere->name);
+  }
+  BOOST_TEST(used.size() == 4);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace daisywinch::test
--- /dev/null
+++ b/tests/support/process.h
@@ -0,0 +1,40 @@
+#ifndef DAISYWINCH_TESTS_SUPPORT_PROCESS_H
+#define DAISYWINCH_TESTS_SUPPORT_PROCESS_H
+
+#include <sys/types.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "state/clock.h"
+
+namespace daisywinch::test {
+
+/// A process that a test started; killed when it goes out of scope.
+class Process {
+ public:
+  /// Starts a program with its output appended to a file.
+  Process(const std::string& program,
+          const std::vector<std::string>& arguments,
+          const std::string& output_file);
+  ~Process();
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  void Signal(int signal) const;
+  /// Kills at once and waits for the end.
+  void Kill();
+  /// The exit status, if the process ends within the timeout.
+  std::optional<int> WaitForExit(Duration timeout);
+  /// Processor time used so far, by all threads.
+  Duration ProcessorTime() const;
+
+ private:
+  pid_t pid = 0;
+  bool ended = false;
+};
+
+}  // namespace daisywinch::test
+
+#endif  // DAISYWINCH_TESTS_SUPPORT_PROCESS_H
--- /dev/null
+++ b/tests/support/test_fleet.cc
@@ -0,0 +1,300 @@
+#include "support/test_fleet.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+#include "state/answers.h"
+#include "state/key_digest.h"
+#include "state/object_reader.h"
+
+namespace daisywinch::test {
+
+namespace {
+
+constexpr int kCallerPort = 8080;
+constexpr int kPeerPort = 8081;
+constexpr int kControlPort = 8082;
+constexpr int kOperatorPort = 8083;
+constexpr int kTargetPort = 9000;
+constexpr int kPlatformPort = 7000;
+constexpr int kPlatformHost = 250;
+constexpr std::chrono::milliseconds kPollInterval{10};
+constexpr std::chrono::seconds kStartTimeout{20};
+
+int next_fleet_number = 0;
+
+}  // namespace
+
+bool WaitUntil(const std::function<bool()>& condition, Duration timeout) {
+  const TimePoint latest = BootTime::now() + timeout;
+  while (BootTime::now() < latest) {
+    if (condition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return condition();
+}
+
+Configuration MakeConfiguration(const std::string& answers) {
+  FaultList faults("answers");
+  const std::optional<boost::json::value> json = ParseJson(answers, faults);
+  std::optional<Configuration> configuration;
+  if (json) {
+    configuration = GenerateConfiguration(*json, faults);
+  }
+  if (!configuration) {
+    throw std::runtime_error(faults.ToString());
+  }
+  return *configuration;
+}
+
+std::string KeyOf(const std::string& customer) {
+  return "key-of-" + customer;
+}
+
+std::string StandardAnswers(int version) {
+  return R"({
+    "deployment": "test", "version": )" +
+         std::to_string(version) + R"(,
+    "data_centres": [
+      {"name": "east", "region": "r1"}, {"name": "west", "region": "r1"},
+    ],
+    "services": [
+      {"name": "front", "slots_per_server": 50, "connections_per_server": 200,
+       "slots_when_cold": 50, "warm_up_seconds": 1, "servers": [
+         {"data_centre": "east", "count": 1},
+         {"data_centre": "west", "count": 1}]},
+      {"name": "back", "slots_per_server": 50, "connections_per_server": 200,
+       "slots_when_cold": 50, "warm_up_seconds": 1, "servers": [
+         {"data_centre": "east", "count": 1},
+         {"data_centre": "west", "count": 1}]},
+    ],
+    "customers": [
+      {"name": "school", "calls_per_second": 2000, "burst_calls": 2000,
+       "key_digests": [")" +
+         Sha256Hex(KeyOf("school")) + R"("]},
+      {"name": "clinic", "calls_per_second": 2000, "burst_calls": 2000,
+       "key_digests": [")" +
+         Sha256Hex(KeyOf("clinic")) + R"("]},
+    ],
+    "routes": [
+      {"name": "look-up", "service": "front", "method": "GET",
+       "path": "/points/{id}", "may_be_repeated": true},
+      {"name": "open-map", "service": "front", "method": "GET",
+       "path": "/map", "open_to_all": true, "may_be_repeated": true},
+      {"name": "book", "service": "front", "method": "POST",
+       "path": "/pickups"},
+      {"name": "clinic-only", "service": "front", "method": "GET",
+       "path": "/clinic", "customers": ["clinic"], "may_be_repeated": true},
+      {"name": "retired-report", "service": "front", "method": "GET",
+       "path": "/report", "retired": true},
+      {"name": "stock", "service": "back", "method": "GET",
+       "path": "/stock/{id}", "may_be_repeated": true},
+      {"name": "reserve", "service": "back", "method": "POST",
+       "path": "/reservations"},
+    ],
+    "most_important": ["book", "reserve"],
+    "least_important": ["open-map"],
+  })";
+}
+
+TestFleet::TestFleet() : fleet_number(next_fleet_number++) {
+  const char* folder_of_binaries = std::getenv("DAISYWINCH_BINARIES");
+  if (folder_of_binaries == nullptr) {
+    throw std::runtime_error("set DAISYWINCH_BINARIES to the build folder");
+  }
+  this->binaries = folder_of_binaries;
+  std::string pattern =
+      (std::filesystem::temp_directory_path() / "daisywinch-XXXXXX").string();
+  if (::mkdtemp(pattern.data()) == nullptr) {
+    throw std::runtime_error("no temporary folder can be made");
+  }
+  this->folder = pattern;
+}
+
+TestFleet::~TestFleet() {
+  this->vms.clear();
+  this->platform.reset();
+  if (std::getenv("DAISYWINCH_KEEP_LOGS") == nullptr) {
+    std::filesystem::remove_all(this->folder);
+  }
+}
+
+Address TestFleet::MakeAddress(int host, int port) const {
+  // Hosts of one loopback network are for this process and fleet alone; the
+  // ports lie below those that the system hands out.
+  const int process = static_cast<int>(::getpid());
+  const int network = (process * 7 + this->fleet_number) % (200 * 250);
+  return {"127." + std::to_string(20 + network / 250) + "." +
+              std::to_string(1 + network % 250) + "." + std::to_string(host),
+          static_cast<std::uint16_t>(port)};
+}
+
+TestVm& TestFleet::AddVm(const std::string& data_centre,
+                         const std::string& service,
+                         const std::vector<std::string>& target_flags) {
+  if (std::find(this->data_centres.begin(), this->data_centres.end(),
+                data_centre) == this->data_centres.end()) {
+    this->data_centres.push_back(data_centre);
+  }
+  const int host = static_cast<int>(this->vms.size()) + 1;
+  TestVm& vm = *this->vms.emplace_back(std::make_unique<TestVm>());
+  vm.name = service + "-" + data_centre + "-" + std::to_string(host);
+  vm.data_centre = data_centre;
+  vm.service = service;
+  vm.caller = this->MakeAddress(host, kCallerPort);
+  vm.peer = this->MakeAddress(host, kPeerPort);
+  vm.control = this->MakeAddress(host, kControlPort);
+  vm.operators = this->MakeAddress(host, kOperatorPort);
+  vm.target = this->MakeAddress(host, kTargetPort);
+  vm.target_flags = target_flags;
+  return vm;
+}
+
+Address TestFleet::PlatformAddress(const std::string& data_centre) {
+  const auto found = std::find(this->data_centres.begin(),
+                               this->data_centres.end(), data_centre);
+  const int index = static_cast<int>(found - this->data_centres.begin());
+  return this->MakeAddress(kPlatformHost, kPlatformPort + index);
+}
+
+void TestFleet::Start(const Configuration& configuration) {
+  std::string addresses;
+  for (const std::string& data_centre : this->data_centres) {
+    addresses += (addresses.empty() ? "" : ",") +
+                 this->PlatformAddress(data_centre).ToString();
+  }
+  this->platform = std::make_unique<Process>(
+      this->binaries + "/tests/platform_standin",
+      std::vector<std::string>{"--addresses=" + addresses},
+      this->folder + "/platform.log");
+  Call probe;
+  probe.path = "/test/counters";
+  const Address address = this->PlatformAddress(this->data_centres.front());
+  if (!WaitUntil([&] { return Send(address, probe).result_int() == 200; })) {
+    throw std::runtime_error("the platform stand-in does not start");
+  }
+  this->Publish(configuration);
+  this->PublishVmList();
+  for (const std::unique_ptr<TestVm>& vm : this->vms) {
+    this->StartTarget(*vm);
+    this->StartNode(*vm);
+  }
+  for (const std::unique_ptr<TestVm>& vm : this->vms) {
+    const bool ready = WaitUntil(
+        [&] {
+          const boost::json::value status = this->Status(*vm);
+          return status.is_object() && status.at("ready").as_bool();
+        },
+        kStartTimeout);
+    if (!ready) {
+      throw std::runtime_error(vm->name + " does not become ready");
+    }
+  }
+}
+
+void TestFleet::StartTarget(TestVm& vm) {
+  std::vector<std::string> flags = vm.target_flags;
+  flags.push_back("--address=" + vm.target.ToString());
+  flags.push_back("--node=" + vm.caller.ToString());
+  vm.target_process =
+      std::make_unique<Process>(this->binaries + "/tests/target_standin", flags,
+                                this->folder + "/" + vm.name + ".target.log");
+  Call probe;
+  probe.path = "/test/log";
+  WaitUntil([&] { return Send(vm.target, probe).result_int() == 200; });
+}
+
+void TestFleet::StartNode(TestVm& vm) {
+  const boost::json::object settings = {
+      {"vm", vm.name},
+      {"data_centre", vm.data_centre},
+      {"service", vm.service},
+      {"caller_address", vm.caller.ToString()},
+      {"peer_address", vm.peer.ToString()},
+      {"control_address", vm.control.ToString()},
+      {"operator_address", vm.operators.ToString()},
+      {"target_address", vm.target.ToString()},
+      {"platform_address", this->PlatformAddress(vm.data_centre).ToString()},
+      {"fleet_secret", kFleetSecret}};
+  const std::string file = this->folder + "/" + vm.name + ".json";
+  std::ofstream(file) << boost::json::serialize(settings);
+  vm.node_process = std::make_unique<Process>(
+      this->binaries + "/daisywinch",
+      std::vector<std::string>{"node", "--settings=" + file, "--verbose"},
+      this->folder + "/" + vm.name + ".log");
+}
+
+void TestFleet::Publish(const Configuration& configuration) {
+  Call call;
+  call.method = "PUT";
+  call.path = "/test/values/daisywinch.configuration";
+  call.body = boost::json::serialize(WriteConfiguration(configuration));
+  Send(this->PlatformAddress(this->data_centres.front()), call);
+}
+
+void TestFleet::PublishVmList(const std::vector<std::string>& leaving,
+                              const std::vector<std::string>& removed) {
+  const auto contains = [](const std::vector<std::string>& names,
+                           const std::string& name) {
+    return std::find(names.begin(), names.end(), name) != names.end();
+  };
+  VmList list;
+  list.version = ++this->vm_list_version;
+  for (const std::unique_ptr<TestVm>& vm : this->vms) {
+    if (!contains(removed, vm->name)) {
+      list.vms.push_back({vm->name, vm->data_centre, vm->service, vm->caller,
+                          vm->peer, vm->control, contains(leaving, vm->name)});
+    }
+  }
+  Call call;
+  call.method = "PUT";
+  call.path = "/test/values/vms";
+  call.body = boost::json::serialize(WriteVmList(list));
+  Send(this->PlatformAddress(this->data_centres.front()), call);
+}
+
+void TestFleet::SetPlatformMode(const std::string& query) {
+  Call call;
+  call.path = "/test/mode?" + query;
+  Send(this->PlatformAddress(this->data_centres.front()), call);
+}
+
+std::uint64_t TestFleet::PlatformReads() {
+  return GetJson(this->PlatformAddress(this->data_centres.front()),
+                 "/test/counters")
+      .at("reads")
+      .to_number<std::uint64_t>();
+}
+
+TestVm& TestFleet::GetVm(const std::string& name) {
+  for (const std::unique_ptr<TestVm>& vm : this->vms) {
+    if (vm->name == name) {
+      return *vm;
+    }
+  }
+  throw std::runtime_error("no VM " + name);
+}
+
+boost::json::value TestFleet::Status(const TestVm& vm) {
+  return GetJson(vm.operators, "/status");
+}
+
+boost::json::value TestFleet::TargetLog(const TestVm& vm) {
+  return GetJson(vm.target, "/test/log");
+}
+
+void TestFleet::SetTarget(const TestVm& vm, const std::string& query) {
+  Call call;
+  call.path = "/test/set?" + query;
+  Send(vm.target, call);
+}
+
+}  // namespace daisywinch::test
