Decide at the gate: learned limit, cold start, queue, fair shedding, records

Cause: the gate admitted up to the named slots and refused the rest, whatever the target bore, whoever asked and however important the work was.

Ways weighed: a limit that only ever follows latency holds a target that is slow for another reason at its least limit for as long as it is slow; it is now judged after being halved, and given back when that did not help. A class threshold (admit or not) swings between idle and full; the level is a fraction of the marginal class instead.

Change: TargetLimit (learned limit and cold ramp), AdmissionQueue, FairShare, AdmissionLevel, RepeatRecords, OwnershipHistory, all with the clock passed in.

--- a/src/node/entry.cc
+++ b/src/node/entry.cc
@@ -19,6 +19,7 @@
 constexpr int kServerError = 500;
 constexpr std::size_t kLongestIdempotencyKey = 256;
 constexpr int kRootIdBytes = 4;
+constexpr std::string_view kFirstAttempt = "1";
 
 /// Whether a request that ended like this has cost the target its work.
 bool IsServerError(const protocol::CallReply& reply) {
@@ -65,6 +66,7 @@
   request.erase(kHandleHeader);
   request.erase(kTimeoutHeader);
   request.erase(kIdempotencyKeyHeader);
+  request.erase(kAttemptHeader);
   for (const http::fields::value_type& field : request) {
     const std::string_view value = field.value();
     if (!key.empty() && value.find(key) != std::string_view::npos) {
@@ -191,8 +193,7 @@
   message.set_repeatable(call.route->repeatable);
   message.set_root_id(call.context.root_id);
   message.set_idempotency_key(call.idempotency_key);
-  message.set_configuration_version(
-      call.snapshot->CurrentConfiguration().version);
+  message.set_first_attempt(request[kAttemptHeader] == kFirstAttempt);
   FillMessage(request, message);
   return call;
 }
@@ -275,12 +276,18 @@
   std::set<std::string> tried;
   protocol::CallReply reply = MakeRefusedReply(RefusalReason::kNoTarget);
   while (true) {
-    const Vm* target = this->chooser.Choose(*call.snapshot, call.route->service,
-                                            call.context.request_class,
-                                            hash_key, tried, this->clock.Now());
+    const Vm* target = this->chooser.Choose(
+        *call.snapshot, call.route->service, call.context.customer,
+        call.context.request_class, hash_key, tried, this->clock.Now());
     if (target == nullptr) {
       co_return reply;
     }
+    if (!this->chooser.Wants(target->name, call.context.customer,
+                             call.context.request_class, this->clock.Now())) {
+      reply = MakeRefusedReply(RefusalReason::kShedByEntry);
+      reply.set_retries_left(call.retries_left);
+      co_return reply;
+    }
     tried.insert(target->name);
     reply = co_await this->SendOnce(call, *target, cancellation);
     call.retries_left = reply.retries_left();
@@ -301,7 +308,7 @@
   protocol::CallReply reply = co_await this->sender.Send(
       target, std::move(message), call.context.deadline, cancellation);
   this->chooser.CallEnded(target.name);
-  this->TakeReply(target.name, reply);
+  this->TakeReply(call, target.name, reply);
   const bool gate_kept_count = reply.has_load();
   if (!gate_kept_count && reply.outcome() == protocol::OUTCOME_NOT_RUN) {
     reply.set_retries_left(call.retries_left);
@@ -312,6 +319,7 @@
 bool Entry::MayRetry(const Call& call, const protocol::CallReply& reply) {
   const RefusalReason reason = static_cast<RefusalReason>(reply.reason());
   const bool overloaded = reason == RefusalReason::kShedByGate ||
+                          reason == RefusalReason::kShedByEntry ||
                           reason == RefusalReason::kDeadlineTooShort;
   const bool not_run =
       reply.outcome() == protocol::OUTCOME_NOT_RUN && !overloaded;
@@ -323,7 +331,9 @@
          this->retry_budget.TakeRetry();
 }
 
-void Entry::TakeReply(const std::string& vm, const protocol::CallReply& reply) {
+void Entry::TakeReply(const Call& call,
+                      const std::string& vm,
+                      const protocol::CallReply& reply) {
   const TimePoint now = this->clock.Now();
   if (!reply.has_load()) {
     this->chooser.TakeFailure(vm, now);
@@ -334,10 +344,8 @@
   report.in_flight = static_cast<int>(load.in_flight());
   report.queued = static_cast<int>(load.queued());
   report.limit = static_cast<int>(load.limit());
-  report.admitted_class = static_cast<RequestClass>(
-      std::min<std::uint32_t>(load.admitted_class(), kRequestClassCount - 1));
-  report.draining = load.draining();
-  this->chooser.TakeReport(vm, report, now);
+  report.level = load.level();
+  this->chooser.TakeReport(vm, call.context.customer, report, now);
   const RefusalReason reason = static_cast<RefusalReason>(reply.reason());
   if (reason == RefusalReason::kTargetUnreachable ||
       reason == RefusalReason::kAnswerLost) {
--- a/src/node/entry.h
+++ b/src/node/entry.h
@@ -73,7 +73,9 @@
       const Vm& target,
       std::shared_ptr<Cancellation> cancellation);
   bool MayRetry(const Call& call, const protocol::CallReply& reply);
-  void TakeReply(const std::string& vm, const protocol::CallReply& reply);
+  void TakeReply(const Call& call,
+                 const std::string& vm,
+                 const protocol::CallReply& reply);
 
   asio::io_context& context;
   const Clock& clock;
--- a/src/node/gate.cc
+++ b/src/node/gate.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "state/event_log.h"
 #include "transport/call_client.h"
 #include "transport/http.h"
 
@@ -13,6 +14,11 @@
 /// Value of the outcome header by which a target says that it shed a request
 /// before starting it.
 constexpr std::string_view kNotRunValue = "not-run";
+constexpr char kInstanceHeader[] = "Server-Instance";
+constexpr std::size_t kRecordLimit = 50'000;
+constexpr std::size_t kRecordByteLimit = 16 * 1024 * 1024;
+constexpr std::size_t kLeastQueueCapacity = 16;
+constexpr double kOpenRouteWeight = 1;
 
 HttpRequest MakeTargetRequest(const protocol::CallRequest& call,
                               const std::string& handle,
@@ -39,9 +45,14 @@
   return request;
 }
 
+/// Whether a target says that it shed a request before starting it.
+bool IsShed(const HttpResponse& response) {
+  return response.result() == http::status::service_unavailable &&
+         response[kOutcomeHeader] == kNotRunValue;
+}
+
 protocol::CallReply MakeAnsweredReply(HttpResponse response) {
-  if (response.result_int() == 503 &&
-      response[kOutcomeHeader] == kNotRunValue) {
+  if (IsShed(response)) {
     return MakeRefusedReply(RefusalReason::kShedByTarget);
   }
   protocol::CallReply reply;
@@ -74,6 +85,20 @@
   return MakeRefusedReply(RefusalReason::kAnswerLost);
 }
 
+std::uint64_t ToMicroseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(duration)
+      .count();
+}
+
+std::vector<std::string> TargetNames(const Snapshot& snapshot,
+                                     const std::string& service) {
+  std::vector<std::string> names;
+  for (const Vm& vm : snapshot.Targets(service)) {
+    names.push_back(vm.name);
+  }
+  return names;
+}
+
 }  // namespace
 
 Gate::Gate(asio::io_context& context,
@@ -81,89 +106,287 @@
            const Settings& settings,
            const SnapshotHolder& snapshots,
            HandleTable& handles)
-    : clock(clock),
+    : context(context),
+      clock(clock),
+      vm(settings.vm),
       service(settings.service),
       snapshots(snapshots),
       handles(handles),
-      target(context, settings.target_address, settings.body_limit) {}
+      target(context, settings.target_address, settings.body_limit),
+      queue(this->shares),
+      records(kRecordLimit, kRecordByteLimit),
+      ownership(settings.vm, clock.Now()) {}
 
 Awaitable<protocol::CallReply> Gate::Handle(
     protocol::CallRequest request,
     std::shared_ptr<Cancellation> cancellation) {
-  const TimePoint deadline =
+  this->TakeSnapshot();
+  GateCall call;
+  call.context.customer = request.customer();
+  call.context.request_class = static_cast<RequestClass>(
+      std::min<std::uint32_t>(request.request_class(), kRequestClassCount - 1));
+  call.context.deadline =
       this->clock.Now() +
       std::chrono::microseconds(request.remaining_microseconds());
-  const std::shared_ptr<const Snapshot> snapshot = this->snapshots.Load();
-  const Service* own_service =
-      snapshot ? snapshot->CurrentConfiguration().FindService(this->service)
-               : nullptr;
-  this->limit = own_service == nullptr ? 0 : own_service->slots;
-  const std::uint32_t retries_left = request.retries_left();
-  protocol::CallReply reply;
-  if (own_service == nullptr) {
-    reply = MakeRefusedReply(RefusalReason::kNotReady);
+  call.context.root_id = request.root_id();
+  call.cancellation = std::move(cancellation);
+  call.is_recorded =
+      !request.repeatable() && !request.idempotency_key().empty();
+  call.record_key = request.customer() + "\n" + request.idempotency_key();
+  call.request = std::move(request);
+  ++this->calls_in_progress;
+  protocol::CallReply reply = co_await this->Decide(call);
+  --this->calls_in_progress;
+  this->AddLoad(call, reply);
+  co_return reply;
+}
+
+void Gate::TakeSnapshot() {
+  std::shared_ptr<const Snapshot> newest = this->snapshots.Load();
+  if (newest == this->snapshot) {
+    return;
+  }
+  this->snapshot = std::move(newest);
+  const Configuration& configuration = this->snapshot->CurrentConfiguration();
+  const Service* own_service = configuration.FindService(this->service);
+  if (own_service != nullptr) {
+    this->limit.Configure(*own_service);
+    this->queue.SetCapacity(
+        std::max<std::size_t>(kLeastQueueCapacity, own_service->slots));
+  }
+  for (const Customer& customer : configuration.customers) {
+    this->shares.SetWeight(customer.name, customer.rate);
+  }
+  this->shares.SetWeight("", kOpenRouteWeight);
+  this->records.SetWindow(configuration.repeat_window);
+  this->ownership.SetWindow(configuration.repeat_window);
+  this->ownership.TakeTargets(TargetNames(*this->snapshot, this->service),
+                              this->clock.Now());
+}
+
+Awaitable<protocol::CallReply> Gate::Decide(GateCall& call) {
+  RefusalReason reason = RefusalReason::kNone;
+  if (this->limit.Limit() == 0) {
+    reason = RefusalReason::kNotReady;
   } else if (this->draining) {
-    reply = MakeRefusedReply(RefusalReason::kDraining);
-  } else if (this->in_flight >= this->limit) {
-    reply = MakeRefusedReply(RefusalReason::kShedByGate);
+    reason = RefusalReason::kDraining;
+  }
+  if (reason == RefusalReason::kNone && call.is_recorded) {
+    std::optional<protocol::CallReply> known = this->ReplyFromRecord(call);
+    if (known) {
+      co_return std::move(*known);
+    }
+  }
+  if (reason == RefusalReason::kNone) {
+    reason = co_await this->WaitForSlot(call);
+  }
+  protocol::CallReply reply;
+  if (reason == RefusalReason::kNone) {
+    reply = co_await this->Run(call);
   } else {
-    ++this->calls_in_progress;
-    reply = co_await this->Run(std::move(request), deadline, cancellation);
-    --this->calls_in_progress;
+    reply = MakeRefusedReply(reason);
+    reply.set_retries_left(call.request.retries_left());
   }
-  if (reply.target_microseconds() == 0) {
-    reply.set_retries_left(retries_left);
+  if (call.is_recorded) {
+    this->EndRecord(call, reply);
   }
-  this->AddLoad(reply);
   co_return reply;
 }
 
-Awaitable<protocol::CallReply> Gate::Run(
-    protocol::CallRequest request,
-    TimePoint deadline,
-    std::shared_ptr<Cancellation> cancellation) {
-  const TimePoint started = this->clock.Now();
-  if (started >= deadline) {
-    co_return MakeRefusedReply(RefusalReason::kDeadlineTooShort);
+std::optional<protocol::CallReply> Gate::ReplyFromRecord(const GateCall& call) {
+  const TimePoint now = this->clock.Now();
+  switch (this->records.Find(call.record_key, now)) {
+    case EarlierRequest::kAnswered:
+      return this->records.AnswerOf(call.record_key);
+    case EarlierRequest::kInProgress:
+      return MakeRefusedReply(RefusalReason::kRepeatInProgress);
+    case EarlierRequest::kUnknown:
+      return MakeRefusedReply(RefusalReason::kRepeatUnknown);
+    case EarlierRequest::kNone:
+      break;
   }
-  CallContext context;
-  context.customer = request.customer();
-  context.request_class = static_cast<RequestClass>(
-      std::min<std::uint32_t>(request.request_class(), kRequestClassCount - 1));
-  context.deadline = deadline;
-  context.root_id = request.root_id();
+  const bool knows_the_past =
+      call.request.first_attempt() ||
+      this->ownership.OwnedThroughout(call.record_key, now);
+  if (!this->ownership.Owns(call.record_key) || !knows_the_past) {
+    return MakeRefusedReply(RefusalReason::kRepeatUnknown);
+  }
+  if (!this->records.Begin(call.record_key)) {
+    return MakeRefusedReply(RefusalReason::kShedByGate);
+  }
+  return std::nullopt;
+}
+
+void Gate::EndRecord(const GateCall& call, const protocol::CallReply& reply) {
+  const TimePoint now = this->clock.Now();
+  if (reply.outcome() == protocol::OUTCOME_NOT_RUN) {
+    this->records.EndNotRun(call.record_key);
+  } else if (reply.outcome() == protocol::OUTCOME_ANSWERED) {
+    this->records.EndAnswered(call.record_key, reply, now);
+  } else {
+    this->records.EndUnknown(call.record_key, now);
+  }
+}
+
+Awaitable<RefusalReason> Gate::WaitForSlot(const GateCall& call) {
+  const TimePoint now = this->clock.Now();
+  this->level.TakeOffered(now);
+  if (now >= call.context.deadline) {
+    co_return RefusalReason::kDeadlineTooShort;
+  }
+  if (this->in_flight < this->limit.Limit() && this->queue.Size() == 0) {
+    this->level.TakeIdle(now);
+    ++this->in_flight;
+    co_return RefusalReason::kNone;
+  }
+  const std::uint64_t id = this->next_waiter++;
+  const std::shared_ptr<Waiter> waiter =
+      std::make_shared<Waiter>(this->context);
+  this->waiters[id] = waiter;
+  const TimePoint latest_start =
+      call.context.deadline - this->limit.BestLatency(call.request.route());
+  const std::vector<std::uint64_t> shed =
+      this->queue.Add({id, call.context.request_class, call.context.customer,
+                       now, latest_start},
+                      now);
+  for (const std::uint64_t shed_id : shed) {
+    this->level.TakeShed(now);
+    this->EndWait(shed_id, RefusalReason::kShedByGate);
+  }
+  call.cancellation->SetAction([waiter] { waiter->wake_up.cancel(); });
+  waiter->wake_up.expires_at(call.context.deadline);
+  ErrorCode ignored;
+  if (!waiter->result) {
+    co_await waiter->wake_up.async_wait(Await(ignored));
+  }
+  call.cancellation->ClearAction();
+  this->waiters.erase(id);
+  if (!waiter->result) {
+    this->queue.Remove(id);
+    co_return RefusalReason::kDeadlineTooShort;
+  }
+  co_return *waiter->result;
+}
+
+void Gate::StartQueued() {
+  const TimePoint now = this->clock.Now();
+  std::vector<std::uint64_t> expired;
+  while (this->in_flight < this->limit.Limit()) {
+    const std::optional<std::uint64_t> id = this->queue.Next(now, expired);
+    if (!id) {
+      this->level.TakeIdle(now);
+      break;
+    }
+    ++this->in_flight;
+    this->EndWait(*id, RefusalReason::kNone);
+  }
+  for (const std::uint64_t id : expired) {
+    this->level.TakeShed(now);
+    this->EndWait(id, RefusalReason::kShedByGate);
+  }
+}
+
+void Gate::EndWait(std::uint64_t id, RefusalReason result) {
+  const auto found = this->waiters.find(id);
+  if (found != this->waiters.end()) {
+    found->second->result = result;
+    found->second->wake_up.cancel();
+  }
+}
+
+Awaitable<protocol::CallReply> Gate::Run(GateCall& call) {
+  const TimePoint started = this->clock.Now();
+  this->most_in_flight = std::max(this->most_in_flight, this->in_flight);
+  this->shares.AddUsage(call.context.customer, 1, started);
   const std::string handle =
-      this->handles.Open(context, request.retries_left());
-  ++this->in_flight;
+      this->handles.Open(call.context, call.request.retries_left());
+  // A recorded request runs on when its caller hangs up: the answer is kept
+  // for the repeat.
+  const std::shared_ptr<Cancellation> cancellation =
+      call.is_recorded ? std::make_shared<Cancellation>() : call.cancellation;
   TargetExchange exchange = co_await this->target.Send(
-      MakeTargetRequest(request, handle, deadline - started), deadline,
-      cancellation);
+      MakeTargetRequest(call.request, handle, call.context.deadline - started),
+      call.context.deadline, cancellation);
+  const TimePoint ended = this->clock.Now();
+  const ClosedHandle closed = this->handles.Close(handle);
+  TargetSample sample;
+  sample.route = call.request.route();
+  sample.started_at = started;
+  sample.latency = ended - started - closed.onward_time;
+  sample.in_flight = this->in_flight;
+  sample.instance = std::string(exchange.response[kInstanceHeader]);
+  this->TakeExchange(call, exchange, sample);
   --this->in_flight;
-  const std::uint32_t retries_left = this->handles.Close(handle);
+  this->StartQueued();
   protocol::CallReply reply = MakeReply(std::move(exchange));
-  reply.set_retries_left(retries_left);
-  reply.set_target_microseconds(
-      std::chrono::duration_cast<std::chrono::microseconds>(this->clock.Now() -
-                                                            started)
-          .count());
+  reply.set_retries_left(closed.retries_left);
+  reply.set_target_microseconds(ToMicroseconds(ended - started));
   co_return reply;
 }
 
+void Gate::TakeExchange(const GateCall& /*call*/,
+                        const TargetExchange& exchange,
+                        const TargetSample& sample) {
+  const TimePoint now = this->clock.Now();
+  switch (exchange.end) {
+    case TargetExchange::End::kAnswered:
+      if (IsShed(exchange.response)) {
+        this->limit.TakeShed(now);
+      } else {
+        this->limit.TakeAnswer(sample, now);
+      }
+      break;
+    case TargetExchange::End::kNotSent:
+    case TargetExchange::End::kLost:
+      this->limit.TakeDisconnect(now);
+      break;
+    case TargetExchange::End::kDeadline:
+      this->limit.TakeTimeout(now);
+      break;
+    case TargetExchange::End::kCancelled:
+    case TargetExchange::End::kAnswerTooLarge:
+      break;
+  }
+  this->ReportTemperature();
+}
+
+void Gate::ReportTemperature() {
+  const bool is_warm = this->limit.IsWarm();
+  if (is_warm != this->reported_warm) {
+    this->reported_warm = is_warm;
+    LogEvent(is_warm ? EventId::kTargetWarm : EventId::kTargetCold,
+             {{"vm", this->vm},
+              {"limit", static_cast<std::uint64_t>(this->limit.Limit())}});
+  }
+}
+
 boost::json::object Gate::Status() const {
   return {{"in_flight", this->in_flight},
-          {"limit", this->limit},
+          {"most_in_flight", this->most_in_flight},
+          {"queued", this->queue.Size()},
+          {"limit", this->limit.Limit()},
+          {"level", this->level.Level()},
+          {"warm", this->limit.IsWarm()},
+          {"times_cold", this->limit.ColdCount()},
           {"connections", this->target.ConnectionCount()},
+          {"repeat_records", this->records.Size()},
           {"draining", this->draining.load()}};
 }
 
-void Gate::AddLoad(protocol::CallReply& reply) const {
+void Gate::AddLoad(const GateCall& call, protocol::CallReply& reply) {
+  const TimePoint now = this->clock.Now();
   protocol::GateLoad* load = reply.mutable_load();
   load->set_in_flight(this->in_flight);
-  load->set_limit(this->limit);
-  load->set_admitted_class(static_cast<std::uint32_t>(
-      this->in_flight < this->limit ? RequestClass::kBackground
-                                    : RequestClass::kImportant));
-  load->set_draining(this->draining);
+  load->set_queued(this->queue.Size());
+  load->set_limit(this->limit.Limit());
+  double level = this->level.Level();
+  // A customer within its fair share is not refused early while its class is
+  // wanted at all.
+  const bool is_wanted = WantedPart(level, call.context.request_class) > 0;
+  if (is_wanted && !this->shares.IsOverShare(call.context.customer, now)) {
+    level = AdmissionLevel::kHighest;
+  }
+  load->set_level(level);
 }
 
 }  // namespace daisywinch
--- a/src/node/gate.h
+++ b/src/node/gate.h
@@ -2,16 +2,25 @@
 #define DAISYWINCH_NODE_GATE_H
 
 #include <atomic>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
+#include <unordered_map>
 
 #include <boost/json.hpp>
 
 #include "protocol/generated/peer_messages.pb.h"
+#include "state/admission_level.h"
+#include "state/admission_queue.h"
 #include "state/clock.h"
+#include "state/fair_share.h"
 #include "state/handle_table.h"
+#include "state/ownership_history.h"
+#include "state/repeat_records.h"
 #include "state/settings.h"
 #include "state/snapshot.h"
+#include "state/target_limit.h"
 #include "transport/asio.h"
 #include "transport/cancellation.h"
 #include "transport/target_client.h"
@@ -20,7 +29,8 @@
 
 /// Stands before the one target of this VM: all work reaches the target here.
 ///
-/// Runs on the gate's thread.
+/// Bounds what runs at once, queues and sheds the rest, and keeps the record
+/// of requests that may run at most once. Runs on the gate's thread.
 class Gate {
  public:
   Gate(asio::io_context& context,
@@ -43,19 +53,60 @@
   boost::json::object Status() const;
 
  private:
-  Awaitable<protocol::CallReply> Run(
-      protocol::CallRequest request,
-      TimePoint deadline,
-      std::shared_ptr<Cancellation> cancellation);
-  void AddLoad(protocol::CallReply& reply) const;
+  /// A call on its way through the gate.
+  struct GateCall {
+    protocol::CallRequest request;
+    CallContext context;
+    std::shared_ptr<Cancellation> cancellation;
+    /// The request may run at most once and names its repeats.
+    bool is_recorded = false;
+    std::string record_key;
+  };
+
+  /// A call that waits in the queue.
+  struct Waiter {
+    explicit Waiter(asio::io_context& context) : wake_up(context) {}
+
+    Timer wake_up;
+    /// Set when the wait is over; kNone means that the call may start.
+    std::optional<RefusalReason> result;
+  };
+
+  void TakeSnapshot();
+  Awaitable<protocol::CallReply> Decide(GateCall& call);
+  /// The reply that an earlier request with the same key determines, if any.
+  std::optional<protocol::CallReply> ReplyFromRecord(const GateCall& call);
+  void EndRecord(const GateCall& call, const protocol::CallReply& reply);
+  /// Waits for a free slot; returns why the call may not start, or kNone.
+  Awaitable<RefusalReason> WaitForSlot(const GateCall& call);
+  Awaitable<protocol::CallReply> Run(GateCall& call);
+  void TakeExchange(const GateCall& call,
+                    const TargetExchange& exchange,
+                    const TargetSample& sample);
+  void StartQueued();
+  void EndWait(std::uint64_t id, RefusalReason result);
+  void AddLoad(const GateCall& call, protocol::CallReply& reply);
+  void ReportTemperature();
 
+  asio::io_context& context;
   const Clock& clock;
+  std::string vm;
   std::string service;
   const SnapshotHolder& snapshots;
+  std::shared_ptr<const Snapshot> snapshot;
   HandleTable& handles;
   TargetClient target;
+  TargetLimit limit;
+  FairShare shares;
+  AdmissionQueue queue;
+  AdmissionLevel level;
+  RepeatRecords<protocol::CallReply> records;
+  OwnershipHistory ownership;
+  std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
+  std::uint64_t next_waiter = 1;
   int in_flight = 0;
-  int limit = 1;
+  int most_in_flight = 0;
+  bool reported_warm = false;
   std::atomic<int> calls_in_progress = 0;
   std::atomic<bool> draining = false;
 };
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -34,7 +34,7 @@
 Node::Node(const Settings& settings)
     : settings(settings),
       incarnation(RandomHex(kIncarnationBytes)),
-      handles(this->incarnation),
+      handles(this->incarnation, this->clock),
       entry_tls(MakePskContext(settings.fleet_secret)),
       gate_tls(MakePskContext(settings.fleet_secret)),
       fleet_view(this->snapshots),
--- /dev/null
+++ b/src/state/cold_start_ramp.cc
@@ -0,0 +1,56 @@
+#include "state/cold_start_ramp.h"
+
+#include <algorithm>
+
+namespace daisywinch {
+
+namespace {
+
+/// Time of the ramp over the target's own warm-up time.
+constexpr double kStretch = 1.5;
+/// Part of the warm-up time that one gap between answers can count for.
+constexpr double kLongestGap = 0.1;
+/// Part of the warm-up time that the ramp holds after trouble.
+constexpr double kHold = 0.1;
+
+}  // namespace
+
+void ColdStartRamp::Configure(int new_cold_slots,
+                              int new_slots,
+                              Duration new_warm_up) {
+  this->cold_slots = new_cold_slots;
+  this->slots = new_slots;
+  this->warm_up = new_warm_up;
+}
+
+void ColdStartRamp::TurnCold() {
+  this->progress = 0;
+  this->has_success = false;
+}
+
+void ColdStartRamp::TakeSuccess(TimePoint now) {
+  if (!this->has_success) {
+    this->has_success = true;
+    this->last_success = now;
+    return;
+  }
+  const std::chrono::duration<double> full = this->warm_up;
+  const std::chrono::duration<double> gap = now - this->last_success;
+  this->last_success = now;
+  if (now >= this->held_until) {
+    const double part = std::min(gap / full, kLongestGap);
+    this->progress = std::min(1.0, this->progress + part / kStretch);
+  }
+}
+
+void ColdStartRamp::TakeTrouble(TimePoint now) {
+  this->held_until =
+      now + std::chrono::duration_cast<Duration>(kHold * this->warm_up);
+}
+
+int ColdStartRamp::Limit() const {
+  return this->cold_slots +
+         static_cast<int>(this->progress * (this->slots - this->cold_slots));
+}
+
+}  // namespace daisywinch
--- a/src/state/handle_table.cc
+++ b/src/state/handle_table.cc
@@ -12,8 +12,8 @@
 
 }  // namespace
 
-HandleTable::HandleTable(std::string incarnation)
-    : incarnation(std::move(incarnation)) {}
+HandleTable::HandleTable(std::string incarnation, const Clock& clock)
+    : incarnation(std::move(incarnation)), clock(clock) {}
 
 std::string HandleTable::Open(const CallContext& context,
                               std::uint32_t retries) {
@@ -25,13 +25,13 @@
   return handle;
 }
 
-std::uint32_t HandleTable::Close(const std::string& handle) {
+ClosedHandle HandleTable::Close(const std::string& handle) {
   Record record;
   {
     const std::lock_guard lock(this->mutex);
     const auto found = this->records.find(handle);
     if (found == this->records.end()) {
-      return 0;
+      return {};
     }
     record = std::move(found->second);
     this->records.erase(found);
@@ -39,7 +39,10 @@
   for (const auto& [call, cancel] : record.onward_calls) {
     cancel();
   }
-  return record.retries;
+  if (!record.onward_calls.empty()) {
+    record.onward_time += this->clock.Now() - record.onward_since;
+  }
+  return {record.retries, record.onward_time};
 }
 
 std::optional<CallContext> HandleTable::Find(const std::string& handle,
@@ -77,6 +80,9 @@
   if (found == this->records.end()) {
     return 0;
   }
+  if (found->second.onward_calls.empty()) {
+    found->second.onward_since = this->clock.Now();
+  }
   const std::uint64_t call = this->next_call++;
   found->second.onward_calls[call] = std::move(cancel);
   return call;
@@ -86,8 +92,12 @@
                                    std::uint64_t call) {
   const std::lock_guard lock(this->mutex);
   const auto found = this->records.find(handle);
-  if (found != this->records.end()) {
-    found->second.onward_calls.erase(call);
+  if (found == this->records.end() ||
+      found->second.onward_calls.erase(call) == 0) {
+    return;
+  }
+  if (found->second.onward_calls.empty()) {
+    found->second.onward_time += this->clock.Now() - found->second.onward_since;
   }
 }
 
--- a/src/state/handle_table.h
+++ b/src/state/handle_table.h
@@ -23,6 +23,13 @@
   std::string root_id;
 };
 
+/// What is known of a request when its handle is closed.
+struct ClosedHandle {
+  std::uint32_t retries_left = 0;
+  /// Time in which at least one onward call was in progress.
+  Duration onward_time = Duration::zero();
+};
+
 /// Handles that stand for requests in progress at the target beside this node.
 ///
 /// A target copies its handle onto the calls that it makes. The gate opens
@@ -30,13 +37,13 @@
 class HandleTable {
  public:
   /// `incarnation` identifies this run of the process in its handles.
-  explicit HandleTable(std::string incarnation);
+  HandleTable(std::string incarnation, const Clock& clock);
 
   /// Opens a handle with the retries that its subtree may spend.
   std::string Open(const CallContext& context, std::uint32_t retries);
 
-  /// Ends a handle and cancels its onward calls; returns unspent retries.
-  std::uint32_t Close(const std::string& handle);
+  /// Ends a handle and cancels its onward calls.
+  ClosedHandle Close(const std::string& handle);
 
   /// The context of an open handle. Otherwise the reason is set.
   std::optional<CallContext> Find(const std::string& handle,
@@ -58,9 +65,13 @@
     CallContext context;
     std::uint32_t retries = 0;
     std::unordered_map<std::uint64_t, std::function<void()>> onward_calls;
+    Duration onward_time = Duration::zero();
+    /// Start of the time in which onward calls are in progress now.
+    TimePoint onward_since;
   };
 
   std::string incarnation;
+  const Clock& clock;
   mutable std::mutex mutex;
   std::unordered_map<std::string, Record> records;
   std::uint64_t next_call = 1;
--- a/src/state/target_chooser.cc
+++ b/src/state/target_chooser.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "state/key_digest.h"
+#include "state/rendezvous.h"
 
 namespace daisywinch {
 
@@ -14,6 +14,7 @@
 constexpr std::chrono::milliseconds kReportLifetime{1000};
 /// Load from which a target sends work on to other data centres.
 constexpr double kSpillLoad = 1.0;
+constexpr double kTrickle = 0.02;
 
 }  // namespace
 
@@ -22,6 +23,7 @@
 
 const Vm* TargetChooser::Choose(const Snapshot& snapshot,
                                 std::string_view service,
+                                const std::string& customer,
                                 RequestClass request_class,
                                 std::string_view idempotency_key,
                                 const std::set<std::string>& excluded,
@@ -49,15 +51,15 @@
     }
   }
   const Vm* choice = this->ChooseOfTwo(local);
-  const bool should_spill = choice == nullptr ||
-                            this->LoadOf(choice->name) >= kSpillLoad ||
-                            !this->Admits(choice->name, request_class, now);
+  const bool should_spill =
+      choice == nullptr || this->LoadOf(choice->name) >= kSpillLoad ||
+      this->WantedPartOf(choice->name, customer, request_class, now) < 1;
   if (should_spill && !remote.empty()) {
     const Vm* other = this->ChooseOfTwo(remote);
     const bool better =
         choice == nullptr ||
         (this->LoadOf(other->name) < this->LoadOf(choice->name) &&
-         this->Admits(other->name, request_class, now));
+         this->WantedPartOf(other->name, customer, request_class, now) >= 1);
     choice = better ? other : choice;
   }
   return choice != nullptr ? choice : this->ChooseOfTwo(avoided);
@@ -65,17 +67,13 @@
 
 const Vm* TargetChooser::ChooseByHash(const std::vector<Vm>& targets,
                                       std::string_view idempotency_key) const {
-  const Vm* best = nullptr;
-  std::string best_weight;
+  std::vector<std::string> names;
+  names.reserve(targets.size());
   for (const Vm& target : targets) {
-    const std::string weight =
-        Sha256Hex(target.name + "\n" + std::string(idempotency_key));
-    if (best == nullptr || weight > best_weight) {
-      best = &target;
-      best_weight = weight;
-    }
+    names.push_back(target.name);
   }
-  return best;
+  const std::string* name = ChooseByRendezvous(names, idempotency_key);
+  return name == nullptr ? nullptr : &targets[name - names.data()];
 }
 
 const Vm* TargetChooser::ChooseOfTwo(const std::vector<const Vm*>& candidates) {
@@ -115,16 +113,33 @@
   return found != this->states.end() && now < found->second.avoided_until;
 }
 
-bool TargetChooser::Admits(const std::string& vm,
-                           RequestClass request_class,
-                           TimePoint now) const {
+double TargetChooser::WantedPartOf(const std::string& vm,
+                                   const std::string& customer,
+                                   RequestClass request_class,
+                                   TimePoint now) const {
   const auto found = this->states.find(vm);
-  if (found == this->states.end() ||
-      now - found->second.reported_at > kReportLifetime) {
+  if (found == this->states.end()) {
+    return 1;
+  }
+  const auto level = found->second.levels.find(customer);
+  if (level == found->second.levels.end() ||
+      now - level->second.reported_at > kReportLifetime) {
+    return 1;
+  }
+  return WantedPart(level->second.level, request_class);
+}
+
+bool TargetChooser::Wants(const std::string& vm,
+                          const std::string& customer,
+                          RequestClass request_class,
+                          TimePoint now) {
+  const double part = this->WantedPartOf(vm, customer, request_class, now);
+  if (part >= 1) {
     return true;
   }
-  return !found->second.report.draining &&
-         request_class <= found->second.report.admitted_class;
+  // A trickle of every class keeps the levels of all customers fresh.
+  std::uniform_real_distribution<double> draw(0, 1);
+  return draw(this->random) < std::max(part, kTrickle);
 }
 
 void TargetChooser::CallStarted(const std::string& vm) {
@@ -136,11 +151,12 @@
 }
 
 void TargetChooser::TakeReport(const std::string& vm,
+                               const std::string& customer,
                                const GateReport& report,
                                TimePoint now) {
   TargetState& state = this->states[vm];
   state.report = report;
-  state.reported_at = now;
+  state.levels[customer] = {report.level, now};
   state.failures = 0;
   state.avoided_until = TimePoint();
 }
--- a/src/state/target_chooser.h
+++ b/src/state/target_chooser.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "state/admission_level.h"
 #include "state/clock.h"
 #include "state/configuration.h"
 #include "state/snapshot.h"
@@ -20,9 +21,8 @@
   int in_flight = 0;
   int queued = 0;
   int limit = 1;
-  /// Least important class that the gate admits.
-  RequestClass admitted_class = RequestClass::kBackground;
-  bool draining = false;
+  /// Admission level for the customer of the call.
+  double level = AdmissionLevel::kHighest;
 };
 
 /// Chooses the target for each call of one entry.
@@ -36,11 +36,10 @@
   /// The target for a call; null if there is none outside `excluded`.
   ///
   /// A call with an idempotency key goes to the target that rendezvous
-  /// hashing gives the key, wherever it is, so that repeats meet each other
-  /// ("Using Name-Based Mappings to Increase Hit Rates", Thaler, Ravishankar
-  /// 1998).
+  /// hashing gives the key, wherever it is, so that repeats meet each other.
   const Vm* Choose(const Snapshot& snapshot,
                    std::string_view service,
+                   const std::string& customer,
                    RequestClass request_class,
                    std::string_view idempotency_key,
                    const std::set<std::string>& excluded,
@@ -49,21 +48,30 @@
   void CallStarted(const std::string& vm);
   void CallEnded(const std::string& vm);
   void TakeReport(const std::string& vm,
+                  const std::string& customer,
                   const GateReport& report,
                   TimePoint now);
   /// A target that could not be reached is left alone for a while.
   void TakeFailure(const std::string& vm, TimePoint now);
 
-  /// Whether a target would admit the class, by its last report.
-  bool Admits(const std::string& vm,
-              RequestClass request_class,
-              TimePoint now) const;
+  /// Whether to send a call that a target may not want; chosen at random
+  /// with the probability that the target's last report gives.
+  bool Wants(const std::string& vm,
+             const std::string& customer,
+             RequestClass request_class,
+             TimePoint now);
 
  private:
+  struct CustomerLevel {
+    double level = AdmissionLevel::kHighest;
+    TimePoint reported_at;
+  };
+
   struct TargetState {
     int own_in_flight = 0;
     GateReport report;
-    TimePoint reported_at;
+    /// Admission levels by customer.
+    std::unordered_map<std::string, CustomerLevel> levels;
     int failures = 0;
     TimePoint avoided_until;
   };
@@ -72,6 +80,10 @@
                          std::string_view idempotency_key) const;
   const Vm* ChooseOfTwo(const std::vector<const Vm*>& candidates);
   double LoadOf(const std::string& vm) const;
+  double WantedPartOf(const std::string& vm,
+                      const std::string& customer,
+                      RequestClass request_class,
+                      TimePoint now) const;
   bool IsAvoided(const std::string& vm, TimePoint now) const;
 
   std::string data_centre;
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -18,6 +18,8 @@
 constexpr char kHandleHeader[] = "Daisywinch-Handle";
 constexpr char kTimeoutHeader[] = "Daisywinch-Timeout-Ms";
 constexpr char kIdempotencyKeyHeader[] = "Idempotency-Key";
+/// "1" says that the caller never sent this idempotency key before.
+constexpr char kAttemptHeader[] = "Daisywinch-Attempt";
 
 /// A problem document (RFC 9457) for a refusal.
 HttpResponse MakeProblem(const Refusal& refusal);
--- /dev/null
+++ b/tests/state/at_most_once_test.cc
@@ -0,0 +1,171 @@
+#include <boost/test/unit_test.hpp>
+
+#include "state/handle_table.h"
+#include "state/ownership_history.h"
+#include "state/rendezvous.h"
+#include "state/repeat_records.h"
+#include "state/retry_budget.h"
+#include "support/fake_clock.h"
+
+namespace daisywinch::test {
+
+namespace {
+
+/// An answer of a given size.
+struct SizedAnswer {
+  std::size_t size = 0;
+
+  std::size_t ByteSizeLong() const { return this->size; }
+};
+
+constexpr std::chrono::seconds kWindow{20};
+
+struct RecordFixture {
+  RecordFixture() : records(3, 100), history("a", this->clock.Now()) {
+    this->records.SetWindow(kWindow);
+    this->history.SetWindow(kWindow);
+  }
+
+  EarlierRequest Find(const std::string& key) {
+    return this->records.Find(key, this->clock.Now());
+  }
+
+  /// A key that the first of two lists gives to "a", and the second too or
+  /// not.
+  static std::string KeyOwnedByA(const std::vector<std::string>& first,
+                                 const std::vector<std::string>& second,
+                                 bool by_both) {
+    for (int number = 0;; ++number) {
+      std::string key = std::to_string(number);
+      if (*ChooseByRendezvous(first, key) == "a" &&
+          (*ChooseByRendezvous(second, key) == "a") == by_both) {
+        return key;
+      }
+    }
+  }
+
+  FakeClock clock;
+  RepeatRecords<SizedAnswer> records;
+  OwnershipHistory history;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(at_most_once, RecordFixture)
+
+BOOST_AUTO_TEST_CASE(repeat_is_recognised_until_the_window_ends) {
+  BOOST_TEST((this->Find("k") == EarlierRequest::kNone));
+  BOOST_TEST(this->records.Begin("k"));
+  BOOST_TEST((this->Find("k") == EarlierRequest::kInProgress));
+  this->clock.Advance(10 * kWindow);
+  BOOST_TEST((this->Find("k") == EarlierRequest::kInProgress));
+  this->records.EndAnswered("k", {7}, this->clock.Now());
+  this->clock.Advance(kWindow);
+  BOOST_TEST((this->Find("k") == EarlierRequest::kAnswered));
+  BOOST_TEST(this->records.AnswerOf("k").size == 7);
+  this->clock.Advance(std::chrono::seconds(1));
+  BOOST_TEST((this->Find("k") == EarlierRequest::kNone));
+}
+
+BOOST_AUTO_TEST_CASE(request_that_did_not_run_may_be_repeated) {
+  this->records.Begin("k");
+  this->records.EndNotRun("k");
+  BOOST_TEST((this->Find("k") == EarlierRequest::kNone));
+}
+
+BOOST_AUTO_TEST_CASE(answer_over_the_byte_limit_is_not_run_again) {
+  this->records.Begin("k");
+  this->records.EndAnswered("k", {101}, this->clock.Now());
+  BOOST_TEST((this->Find("k") == EarlierRequest::kUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(nothing_starts_without_room_for_its_record) {
+  BOOST_TEST(this->records.Begin("1"));
+  BOOST_TEST(this->records.Begin("2"));
+  BOOST_TEST(this->records.Begin("3"));
+  BOOST_TEST(!this->records.Begin("4"));
+  this->records.EndUnknown("1", this->clock.Now());
+  this->clock.Advance(kWindow + std::chrono::seconds(1));
+  this->Find("1");
+  BOOST_TEST(this->records.Begin("4"));
+}
+
+BOOST_AUTO_TEST_CASE(restarted_gate_does_not_know_the_past) {
+  this->history.TakeTargets({"a"}, this->clock.Now());
+  BOOST_TEST(this->history.Owns("k"));
+  BOOST_TEST(!this->history.OwnedThroughout("k", this->clock.Now()));
+  this->clock.Advance(kWindow);
+  BOOST_TEST(this->history.OwnedThroughout("k", this->clock.Now()));
+}
+
+BOOST_AUTO_TEST_CASE(moved_choice_of_gate_does_not_know_the_past) {
+  const std::vector<std::string> before = {"a", "b", "c"};
+  const std::vector<std::string> after = {"a", "c"};
+  const std::string moved = KeyOwnedByA(after, before, false);
+  const std::string kept = KeyOwnedByA(after, before, true);
+  this->history.TakeTargets(before, this->clock.Now());
+  this->clock.Advance(10 * kWindow);
+  this->history.TakeTargets(after, this->clock.Now());
+  BOOST_TEST(this->history.Owns(moved));
+  BOOST_TEST(!this->history.OwnedThroughout(moved, this->clock.Now()));
+  BOOST_TEST(this->history.OwnedThroughout(kept, this->clock.Now()));
+  this->clock.Advance(kWindow + std::chrono::seconds(1));
+  BOOST_TEST(this->history.OwnedThroughout(moved, this->clock.Now()));
+}
+
+BOOST_AUTO_TEST_CASE(retries_never_pass_their_part_of_fresh_calls) {
+  RetryBudget budget(0.1, 100);
+  int retries = 0;
+  for (int call = 1; call <= 1000; ++call) {
+    budget.AddFreshCall();
+    while (budget.TakeRetry()) {
+      ++retries;
+    }
+    BOOST_TEST_REQUIRE(retries <= 0.1 * call + 1e-6);
+  }
+  BOOST_TEST(retries >= 99);
+}
+
+BOOST_AUTO_TEST_CASE(handle_ends_with_its_request) {
+  HandleTable handles("node1", this->clock);
+  CallContext context;
+  context.customer = "school";
+  const std::string handle = handles.Open(context, 2);
+  RefusalReason reason = RefusalReason::kNone;
+  BOOST_TEST(handles.Find(handle, reason)->customer == "school");
+  int cancelled = 0;
+  handles.AddOnwardCall(handle, [&cancelled] { ++cancelled; });
+  handles.Close(handle);
+  BOOST_TEST(cancelled == 1);
+  BOOST_TEST(!handles.Find(handle, reason));
+  BOOST_TEST((reason == RefusalReason::kHandleEnded));
+  BOOST_TEST(!handles.Find("node2.1234", reason));
+  BOOST_TEST((reason == RefusalReason::kHandleForeign));
+}
+
+BOOST_AUTO_TEST_CASE(onward_calls_at_the_same_time_share_the_retries) {
+  HandleTable handles("node1", this->clock);
+  const std::string handle = handles.Open(CallContext(), 2);
+  BOOST_TEST(handles.TakeRetries(handle) == 2);
+  BOOST_TEST(handles.TakeRetries(handle) == 0);
+  handles.ReturnRetries(handle, 1);
+  BOOST_TEST(handles.Close(handle).retries_left == 1);
+}
+
+BOOST_AUTO_TEST_CASE(onward_time_counts_overlapping_calls_once) {
+  HandleTable handles("node1", this->clock);
+  const std::string handle = handles.Open(CallContext(), 0);
+  const std::uint64_t first = handles.AddOnwardCall(handle, [] {});
+  this->clock.Advance(std::chrono::milliseconds(5));
+  const std::uint64_t second = handles.AddOnwardCall(handle, [] {});
+  this->clock.Advance(std::chrono::milliseconds(5));
+  handles.RemoveOnwardCall(handle, first);
+  handles.RemoveOnwardCall(handle, second);
+  this->clock.Advance(std::chrono::milliseconds(5));
+  BOOST_TEST(
+      (handles.Close(handle).onward_time == std::chrono::milliseconds(10)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace daisywinch::test
--- /dev/null
+++ b/tests/state/target_limit_test.cc
@@ -0,0 +1,185 @@
+#include "state/target_limit.h"
+
+#include <algorithm>
+#include <random>
+
+#include <boost/test/unit_test.hpp>
+
+#include "support/fake_clock.h"
+
+namespace daisywinch::test {
+
+namespace {
+
+constexpr std::chrono::milliseconds kServiceTime{10};
+constexpr int kSlots = 100;
+constexpr int kColdSlots = 10;
+constexpr std::chrono::seconds kWarmUp{2};
+
+/// A model of a target that warms up under load, driven with as much work as
+/// the limit admits.
+struct LimitFixture {
+  LimitFixture() {
+    Service service;
+    service.slots = kSlots;
+    service.cold_slots = kColdSlots;
+    service.warm_up = kWarmUp;
+    this->limit.Configure(service);
+  }
+
+  int Bears() const {
+    if (!this->is_loaded) {
+      return kColdSlots;
+    }
+    const double part =
+        std::chrono::duration<double>(this->clock.Now() - this->cold_since) /
+        std::chrono::duration<double>(kWarmUp);
+    return kColdSlots +
+           static_cast<int>(std::min(1.0, part) * (kSlots - kColdSlots));
+  }
+
+  void TurnCold() {
+    this->is_loaded = false;
+    this->instance += "'";
+  }
+
+  /// Runs one round in which every admitted request is answered.
+  void Round(double slowdown = 1) {
+    const int in_flight = this->limit.Limit();
+    if (!this->is_loaded) {
+      this->is_loaded = true;
+      this->cold_since = this->clock.Now();
+    }
+    this->worst_excess =
+        std::max(this->worst_excess, in_flight - this->Bears());
+    const double overload =
+        std::max(1.0, static_cast<double>(in_flight) / this->Bears());
+    const Duration latency = std::chrono::duration_cast<Duration>(
+        kServiceTime * slowdown * overload * overload);
+    TargetSample sample;
+    sample.route = "route";
+    sample.started_at = this->clock.Now();
+    sample.latency = latency;
+    sample.in_flight = in_flight;
+    sample.instance = this->instance;
+    this->clock.Advance(latency);
+    for (int request = 0; request < in_flight; ++request) {
+      this->limit.TakeAnswer(sample, this->clock.Now());
+    }
+  }
+
+  void RunFor(Duration time, double slowdown = 1) {
+    const TimePoint end = this->clock.Now() + time;
+    while (this->clock.Now() < end) {
+      this->Round(slowdown);
+    }
+  }
+
+  FakeClock clock;
+  TargetLimit limit;
+  std::string instance = "a";
+  bool is_loaded = false;
+  TimePoint cold_since;
+  int worst_excess = -kSlots;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(target_limit, LimitFixture)
+
+BOOST_AUTO_TEST_CASE(cold_target_never_gets_more_than_it_bears) {
+  BOOST_TEST(this->limit.Limit() == kColdSlots);
+  this->RunFor(2 * kWarmUp);
+  BOOST_TEST(this->worst_excess <= 0);
+  BOOST_TEST(this->limit.Limit() == kSlots);
+}
+
+BOOST_AUTO_TEST_CASE(idle_time_warms_nothing) {
+  this->Round();
+  this->clock.Advance(std::chrono::minutes(10));
+  this->Round();
+  BOOST_TEST(this->limit.Limit() < kSlots / 4);
+}
+
+BOOST_AUTO_TEST_CASE(restarted_target_is_cold_again) {
+  this->RunFor(2 * kWarmUp);
+  this->TurnCold();
+  this->Round();
+  BOOST_TEST(this->limit.Limit() == kColdSlots);
+  this->RunFor(2 * kWarmUp);
+  BOOST_TEST(this->limit.Limit() == kSlots);
+  BOOST_TEST(this->limit.ColdCount() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(target_cold_without_warning_is_found_by_its_latency) {
+  this->RunFor(2 * kWarmUp);
+  this->is_loaded = false;
+  this->Round();
+  BOOST_TEST(this->limit.Limit() == kColdSlots);
+  this->worst_excess = -kSlots;
+  this->is_loaded = false;
+  this->RunFor(2 * kWarmUp);
+  BOOST_TEST(this->worst_excess <= 0);
+  BOOST_TEST(this->limit.Limit() == kSlots);
+}
+
+BOOST_AUTO_TEST_CASE(shedding_target_counts_as_cold) {
+  this->RunFor(2 * kWarmUp);
+  for (int shed = 0; shed < 3; ++shed) {
+    this->limit.TakeShed(this->clock.Now());
+  }
+  BOOST_TEST(this->limit.Limit() == kColdSlots);
+}
+
+BOOST_AUTO_TEST_CASE(broken_connection_counts_as_cold) {
+  this->RunFor(2 * kWarmUp);
+  this->limit.TakeDisconnect(this->clock.Now());
+  BOOST_TEST(this->limit.Limit() == kColdSlots);
+}
+
+BOOST_AUTO_TEST_CASE(target_slow_for_another_reason_gets_its_limit_back) {
+  this->RunFor(2 * kWarmUp);
+  // Three times slower whatever the load is: fewer requests would not help.
+  this->RunFor(std::chrono::seconds(10), 3);
+  BOOST_TEST(this->limit.Limit() > kSlots * 9 / 10);
+  this->RunFor(std::chrono::seconds(5));
+  BOOST_TEST(this->limit.Limit() > kSlots * 9 / 10);
+}
+
+BOOST_AUTO_TEST_CASE(much_slower_target_recovers_after_a_ramp) {
+  this->RunFor(2 * kWarmUp);
+  this->RunFor(std::chrono::seconds(10), 20);
+  BOOST_TEST(this->limit.Limit() > kSlots * 9 / 10);
+}
+
+BOOST_AUTO_TEST_CASE(limit_follows_a_target_that_bears_less_than_named) {
+  // The target slows down from 40 requests on although 100 slots are named.
+  ConcurrencyLimit learned;
+  learned.SetBounds(5, kSlots);
+  const auto latency_at = [](int in_flight) {
+    const double overload = std::max(1.0, in_flight / 40.0);
+    return std::chrono::duration_cast<Duration>(kServiceTime * overload *
+                                                overload);
+  };
+  // A quiet time first, so that the best latency is known.
+  for (int request = 0; request < 50; ++request) {
+    learned.TakeLatency("route", latency_at(10), 10, this->clock.Now());
+    this->clock.Advance(kServiceTime);
+  }
+  int lowest = kSlots;
+  for (int round = 0; round < 300; ++round) {
+    const int in_flight = learned.Limit();
+    this->clock.Advance(latency_at(in_flight));
+    for (int request = 0; request < in_flight; ++request) {
+      learned.TakeLatency("route", latency_at(in_flight), in_flight,
+                          this->clock.Now());
+    }
+    lowest = std::min(lowest, learned.Limit());
+  }
+  BOOST_TEST(learned.Limit() < 75);
+  BOOST_TEST(lowest > 25);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace daisywinch::test
