Bound retries over the call tree and answer repeats truthfully

Cause: (1) each hop that saw a failed answer could retry, so a failure eight deep was retried at every hop; (2) an entry that could not reach the gate that keeps a request's record said "not run" to a repeat although the first request may have run (killed_gate_never_lets_its_request_run_twice failed on it).

Change: a gate says when an onward call failed below it and only the hop next to a failure retries; a refusal that does not come from the record's keeper says "unknown" when the caller may have sent the request before. A caller can mark its first attempt, which a gate without a past may run.

An outcome speaks for all requests with the same key.

--- a/src/node/entry.cc
+++ b/src/node/entry.cc
@@ -92,9 +92,23 @@
                             std::chrono::milliseconds(milliseconds));
 }
 
-HttpResponse MakeResponse(protocol::CallReply reply) {
+/// Whether the request may be a repeat of one that ran at most once.
+///
+/// A refusal of this request then says nothing about the earlier ones, unless
+/// it comes from the gate that keeps their record.
+bool MayRepeatEarlier(const HttpRequest& request, const Route* route) {
+  return route != nullptr && !route->repeatable &&
+         !std::string_view(request[kIdempotencyKeyHeader]).empty() &&
+         request[kAttemptHeader] != kFirstAttempt;
+}
+
+HttpResponse MakeResponse(protocol::CallReply reply, bool may_repeat_earlier) {
   if (reply.outcome() != protocol::OUTCOME_ANSWERED) {
-    return MakeProblem(Describe(reply.reason()));
+    const Refusal& refusal = Describe(reply.reason());
+    const bool knows_earlier = reply.has_load();
+    return MakeProblem(refusal, may_repeat_earlier && !knows_earlier
+                                    ? Execution::kUnknown
+                                    : refusal.execution);
   }
   HttpResponse response(static_cast<http::status>(reply.status()), 11);
   for (const protocol::Header& header : reply.headers()) {
@@ -130,9 +144,21 @@
     std::shared_ptr<Cancellation> cancellation) {
   const TimePoint started = this->clock.Now();
   RefusalReason reason = RefusalReason::kNone;
-  std::optional<Call> call = this->Admit(request, reason);
+  std::optional<Call> call;
+  bool may_repeat_earlier = false;
+  const std::shared_ptr<const Snapshot> snapshot = this->snapshots.Load();
+  if (snapshot) {
+    const Route* route =
+        snapshot->Routes().Find(request.method_string(), request.target());
+    may_repeat_earlier = MayRepeatEarlier(request, route);
+    call = this->Admit(snapshot, route, request, reason);
+  } else {
+    reason = RefusalReason::kNotReady;
+  }
   if (!call) {
-    co_return MakeProblem(Describe(reason));
+    const Refusal& refusal = Describe(reason);
+    co_return MakeProblem(
+        refusal, may_repeat_earlier ? Execution::kUnknown : refusal.execution);
   }
   const bool is_onward = !call->parent_handle.empty();
   std::uint64_t onward_call = 0;
@@ -146,6 +172,9 @@
   protocol::CallReply reply =
       co_await this->SendWithRetries(*call, cancellation);
   if (is_onward) {
+    if (reply.outcome() != protocol::OUTCOME_ANSWERED || IsServerError(reply)) {
+      this->handles.ReportOnwardFailure(call->parent_handle);
+    }
     this->handles.RemoveOnwardCall(call->parent_handle, onward_call);
     this->handles.ReturnRetries(call->parent_handle, call->retries_left);
   }
@@ -161,19 +190,17 @@
         {this->clock.Now(), call->context.customer, call->route->name,
          static_cast<RefusalReason>(reason_number), call->context.root_id});
   }
-  co_return MakeResponse(std::move(reply));
+  co_return MakeResponse(std::move(reply), may_repeat_earlier);
 }
 
-std::optional<Entry::Call> Entry::Admit(HttpRequest& request,
-                                        RefusalReason& reason) {
+std::optional<Entry::Call> Entry::Admit(
+    std::shared_ptr<const Snapshot> snapshot,
+    const Route* route,
+    HttpRequest& request,
+    RefusalReason& reason) {
   Call call;
-  call.snapshot = this->snapshots.Load();
-  if (!call.snapshot) {
-    reason = RefusalReason::kNotReady;
-    return std::nullopt;
-  }
-  call.route =
-      call.snapshot->Routes().Find(request.method_string(), request.target());
+  call.snapshot = std::move(snapshot);
+  call.route = route;
   const bool admitted = this->Identify(request, call, reason);
   if (!admitted) {
     this->journal.Add({this->clock.Now(), call.context.customer,
@@ -282,7 +309,8 @@
     if (target == nullptr) {
       co_return reply;
     }
-    if (!this->chooser.Wants(target->name, call.context.customer,
+    if (hash_key.empty() &&
+        !this->chooser.Wants(target->name, call.context.customer,
                              call.context.request_class, this->clock.Now())) {
       reply = MakeRefusedReply(RefusalReason::kShedByEntry);
       reply.set_retries_left(call.retries_left);
@@ -325,7 +353,8 @@
       reply.outcome() == protocol::OUTCOME_NOT_RUN && !overloaded;
   const bool failed =
       reply.outcome() == protocol::OUTCOME_UNKNOWN || IsServerError(reply);
-  const bool useful = not_run || (failed && call.route->repeatable);
+  const bool useful =
+      not_run || (failed && call.route->repeatable && !reply.failed_below());
   return useful && call.retries_left > 0 &&
          this->clock.Now() < call.context.deadline &&
          this->retry_budget.TakeRetry();
--- a/src/node/entry.h
+++ b/src/node/entry.h
@@ -63,7 +63,10 @@
   };
 
   /// Decides whether a request may go on; sets the reason when it may not.
-  std::optional<Call> Admit(HttpRequest& request, RefusalReason& reason);
+  std::optional<Call> Admit(std::shared_ptr<const Snapshot> snapshot,
+                            const Route* route,
+                            HttpRequest& request,
+                            RefusalReason& reason);
   bool Identify(const HttpRequest& request, Call& call, RefusalReason& reason);
   Awaitable<protocol::CallReply> SendWithRetries(
       Call& call,
--- a/src/node/gate.cc
+++ b/src/node/gate.cc
@@ -165,18 +165,18 @@
 }
 
 Awaitable<protocol::CallReply> Gate::Decide(GateCall& call) {
+  if (call.is_recorded) {
+    std::optional<protocol::CallReply> known = this->ReplyFromRecord(call);
+    if (known) {
+      co_return std::move(*known);
+    }
+  }
   RefusalReason reason = RefusalReason::kNone;
   if (this->limit.Limit() == 0) {
     reason = RefusalReason::kNotReady;
   } else if (this->draining) {
     reason = RefusalReason::kDraining;
   }
-  if (reason == RefusalReason::kNone && call.is_recorded) {
-    std::optional<protocol::CallReply> known = this->ReplyFromRecord(call);
-    if (known) {
-      co_return std::move(*known);
-    }
-  }
   if (reason == RefusalReason::kNone) {
     reason = co_await this->WaitForSlot(call);
   }
@@ -205,10 +205,12 @@
     case EarlierRequest::kNone:
       break;
   }
-  const bool knows_the_past =
-      call.request.first_attempt() ||
-      this->ownership.OwnedThroughout(call.record_key, now);
-  if (!this->ownership.Owns(call.record_key) || !knows_the_past) {
+  const bool is_first = call.request.first_attempt();
+  const bool owns = this->ownership.Owns(call.record_key);
+  if (!owns && is_first) {
+    return MakeRefusedReply(RefusalReason::kDraining);
+  }
+  if (!is_first && !this->ownership.OwnedThroughout(call.record_key, now)) {
     return MakeRefusedReply(RefusalReason::kRepeatUnknown);
   }
   if (!this->records.Begin(call.record_key)) {
@@ -320,6 +322,7 @@
   this->StartQueued();
   protocol::CallReply reply = MakeReply(std::move(exchange));
   reply.set_retries_left(closed.retries_left);
+  reply.set_failed_below(closed.onward_failed);
   reply.set_target_microseconds(ToMicroseconds(ended - started));
   co_return reply;
 }
--- a/src/state/handle_table.cc
+++ b/src/state/handle_table.cc
@@ -42,7 +42,7 @@
   if (!record.onward_calls.empty()) {
     record.onward_time += this->clock.Now() - record.onward_since;
   }
-  return {record.retries, record.onward_time};
+  return {record.retries, record.onward_time, record.onward_failed};
 }
 
 std::optional<CallContext> HandleTable::Find(const std::string& handle,
@@ -73,6 +73,14 @@
   }
 }
 
+void HandleTable::ReportOnwardFailure(const std::string& handle) {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->records.find(handle);
+  if (found != this->records.end()) {
+    found->second.onward_failed = true;
+  }
+}
+
 std::uint64_t HandleTable::AddOnwardCall(const std::string& handle,
                                          std::function<void()> cancel) {
   const std::lock_guard lock(this->mutex);
--- a/src/state/handle_table.h
+++ b/src/state/handle_table.h
@@ -28,6 +28,8 @@
   std::uint32_t retries_left = 0;
   /// Time in which at least one onward call was in progress.
   Duration onward_time = Duration::zero();
+  /// An onward call failed: the request's own failure may come from there.
+  bool onward_failed = false;
 };
 
 /// Handles that stand for requests in progress at the target beside this node.
@@ -54,6 +56,9 @@
   std::uint32_t TakeRetries(const std::string& handle);
   void ReturnRetries(const std::string& handle, std::uint32_t retries);
 
+  /// Notes that an onward call of the request failed.
+  void ReportOnwardFailure(const std::string& handle);
+
   /// Registers the cancellation of an onward call, called once on Close() by
   /// the thread that closes. Returns 0 if the handle has ended.
   std::uint64_t AddOnwardCall(const std::string& handle,
@@ -66,6 +71,7 @@
     std::uint32_t retries = 0;
     std::unordered_map<std::uint64_t, std::function<void()>> onward_calls;
     Duration onward_time = Duration::zero();
+    bool onward_failed = false;
     /// Start of the time in which onward calls are in progress now.
     TimePoint onward_since;
   };
--- a/src/transport/http.cc
+++ b/src/transport/http.cc
@@ -14,11 +14,15 @@
 }  // namespace
 
 HttpResponse MakeProblem(const Refusal& refusal) {
+  return MakeProblem(refusal, refusal.execution);
+}
+
+HttpResponse MakeProblem(const Refusal& refusal, Execution execution) {
   const std::string number =
       std::to_string(static_cast<std::uint32_t>(refusal.reason));
   HttpResponse response(static_cast<http::status>(refusal.status), 11);
   response.set(http::field::content_type, "application/problem+json");
-  response.set(kOutcomeHeader, std::string(ToString(refusal.execution)));
+  response.set(kOutcomeHeader, std::string(ToString(execution)));
   response.set(kReasonHeader, number);
   if (refusal.retry_helps) {
     response.set(http::field::retry_after, kRetryAfterSeconds);
@@ -28,7 +32,7 @@
                           {"title", refusal.title},
                           {"status", refusal.status},
                           {"reason", number},
-                          {"outcome", ToString(refusal.execution)}});
+                          {"outcome", ToString(execution)}});
   response.prepare_payload();
   return response;
 }
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -24,6 +24,9 @@
 /// A problem document (RFC 9457) for a refusal.
 HttpResponse MakeProblem(const Refusal& refusal);
 
+/// The same where it is known better whether the request may have run.
+HttpResponse MakeProblem(const Refusal& refusal, Execution execution);
+
 /// Removes the fields that concern one connection only (RFC 9110, 7.6.1).
 void RemoveHopByHopFields(http::fields& fields);
 
--- /dev/null
+++ b/tests/end_to_end/at_most_once_run_test.cc
@@ -0,0 +1,195 @@
+#include <csignal>
+
+#include <boost/test/unit_test.hpp>
+
+#include "support/parallel_calls.h"
+#include "support/test_fleet.h"
+
+namespace daisywinch::test {
+
+namespace {
+
+/// Three targets of one service, so that the choice of gate can move.
+struct AtMostOnceFixture {
+  AtMostOnceFixture() {
+    this->fleet.AddVm("east", "back");
+    this->fleet.AddVm("east", "back");
+    this->fleet.AddVm("west", "back");
+    this->fleet.Start(MakeConfiguration(StandardAnswers(1)));
+  }
+
+  static Call MakeReservation(const std::string& key, bool first) {
+    Call call;
+    call.method = "POST";
+    call.path = "/reservations";
+    call.key = KeyOf("clinic");
+    call.idempotency_key = key;
+    call.body = "request " + key;
+    if (first) {
+      call.headers = {{"Daisywinch-Attempt", "1"}};
+    }
+    return call;
+  }
+
+  /// How often the request with an idempotency key began to run anywhere.
+  int RunsOf(const std::string& key) {
+    int count = 0;
+    for (const std::unique_ptr<TestVm>& vm : this->fleet.Vms()) {
+      for (const boost::json::value& run : this->fleet.Runs(*vm)) {
+        count += run.at("body").as_string() == "request " + key ? 1 : 0;
+      }
+    }
+    return count;
+  }
+
+  /// The VM at which a request with this key is running.
+  TestVm* RunningAt(const std::string& key) {
+    for (const std::unique_ptr<TestVm>& vm : this->fleet.Vms()) {
+      for (const boost::json::value& run : this->fleet.Runs(*vm)) {
+        if (run.at("body").as_string() == "request " + key) {
+          return vm.get();
+        }
+      }
+    }
+    return nullptr;
+  }
+
+  const Address& EntryNumber(std::size_t number) {
+    return this->fleet.Vms()[number % this->fleet.Vms().size()]->caller;
+  }
+
+  void SetAllTargets(const std::string& query) {
+    for (const std::unique_ptr<TestVm>& vm : this->fleet.Vms()) {
+      this->fleet.SetTarget(*vm, query);
+    }
+  }
+
+  TestFleet fleet;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(at_most_once_run, AtMostOnceFixture)
+
+BOOST_AUTO_TEST_CASE(repeat_at_another_node_gets_the_first_answer) {
+  for (int number = 0; number < 12; ++number) {
+    const std::string key = "k" + std::to_string(number);
+    const HttpResponse first =
+        Send(this->EntryNumber(number), MakeReservation(key, true));
+    const HttpResponse repeat =
+        Send(this->EntryNumber(number + 1), MakeReservation(key, false));
+    BOOST_TEST(first.result_int() == 200);
+    BOOST_TEST(repeat.result_int() == 200);
+    BOOST_TEST(first.body() == repeat.body());
+    BOOST_TEST(this->RunsOf(key) == 1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(repeat_of_a_request_in_progress_does_not_run) {
+  this->SetAllTargets("service_ms=500");
+  const std::vector<HttpResponse> responses =
+      SendAll({{this->EntryNumber(0), MakeReservation("k", true)},
+               {this->EntryNumber(1), MakeReservation("k", true)},
+               {this->EntryNumber(2), MakeReservation("k", true)}});
+  int answered = 0;
+  for (const HttpResponse& response : responses) {
+    answered += response.result_int() == 200 ? 1 : 0;
+    BOOST_TEST((response.result_int() == 200 || response.result_int() == 409));
+  }
+  BOOST_TEST(answered == 1);
+  BOOST_TEST(this->RunsOf("k") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(answer_is_kept_for_a_caller_that_hung_up) {
+  this->SetAllTargets("service_ms=400");
+  Send(this->EntryNumber(0), MakeReservation("k", true),
+       std::chrono::milliseconds(100));
+  HttpResponse repeat;
+  const bool answered = WaitUntil([&] {
+    repeat = Send(this->EntryNumber(1), MakeReservation("k", false));
+    return repeat.result_int() == 200;
+  });
+  BOOST_TEST(answered);
+  BOOST_TEST(this->RunsOf("k") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(killed_gate_never_lets_its_request_run_twice) {
+  this->SetAllTargets("hang=1");
+  Send(this->EntryNumber(0), MakeReservation("k", true),
+       std::chrono::milliseconds(200));
+  TestVm* vm = this->RunningAt("k");
+  BOOST_TEST_REQUIRE(vm != nullptr);
+  vm->node_process->Kill();
+  this->SetAllTargets("hang=0");
+  // While it is down, when the choice has moved, and when it is back.
+  const auto repeat_everywhere = [&] {
+    for (const std::unique_ptr<TestVm>& entry : this->fleet.Vms()) {
+      const HttpResponse response =
+          Send(entry->caller, MakeReservation("k", false));
+      BOOST_TEST(response.result_int() != 200);
+      if (response.result_int() != 0) {
+        BOOST_TEST(response["Daisywinch-Outcome"] == "unknown");
+      }
+    }
+  };
+  repeat_everywhere();
+  this->fleet.PublishVmList({}, {vm->name});
+  for (const std::unique_ptr<TestVm>& other : this->fleet.Vms()) {
+    if (other.get() != vm) {
+      WaitUntil([&] {
+        return this->fleet.Status(*other).at("vm_list_version").as_int64() == 2;
+      });
+    }
+  }
+  repeat_everywhere();
+  this->fleet.StartNode(*vm);
+  this->fleet.PublishVmList();
+  WaitUntil([&] {
+    const boost::json::value status = this->fleet.Status(*vm);
+    return status.is_object() && status.at("vm_list_version").as_int64() == 3;
+  });
+  repeat_everywhere();
+  BOOST_TEST(this->RunsOf("k") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(not_run_is_true_when_the_target_is_away) {
+  for (const std::unique_ptr<TestVm>& vm : this->fleet.Vms()) {
+    vm->target_process->Kill();
+  }
+  Call call = MakeReservation("k", true);
+  const HttpResponse keyed = Send(this->EntryNumber(0), call);
+  BOOST_TEST(keyed["Daisywinch-Outcome"] == "not-run");
+  call.idempotency_key.clear();
+  const HttpResponse unkeyed = Send(this->EntryNumber(0), call);
+  BOOST_TEST(unkeyed["Daisywinch-Outcome"] == "not-run");
+}
+
+BOOST_AUTO_TEST_CASE(frozen_gate_gives_unknown_and_one_run) {
+  this->SetAllTargets("service_ms=50");
+  for (const std::unique_ptr<TestVm>& vm : this->fleet.Vms()) {
+    vm->node_process->Signal(SIGSTOP);
+  }
+  TestVm& entry = *this->fleet.Vms().front();
+  entry.node_process->Signal(SIGCONT);
+  for (int number = 0; number < 6; ++number) {
+    Call call = MakeReservation("f" + std::to_string(number), true);
+    call.headers.emplace_back("Daisywinch-Timeout-Ms", "150");
+    const HttpResponse response = Send(entry.caller, call);
+    if (response.result_int() != 200) {
+      // Bytes were handed over: only the frozen gate knows.
+      BOOST_TEST(response.result_int() >= 500);
+    }
+  }
+  for (const std::unique_ptr<TestVm>& vm : this->fleet.Vms()) {
+    vm->node_process->Signal(SIGCONT);
+  }
+  for (int number = 0; number < 6; ++number) {
+    const std::string key = "f" + std::to_string(number);
+    Send(entry.caller, MakeReservation(key, true));
+    BOOST_TEST(this->RunsOf(key) <= 1);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace daisywinch::test
--- a/tests/support/test_fleet.cc
+++ b/tests/support/test_fleet.cc
@@ -291,6 +291,10 @@
   return GetJson(vm.target, "/test/log");
 }
 
+boost::json::array TestFleet::Runs(const TestVm& vm) {
+  return this->TargetLog(vm).at("runs").as_array();
+}
+
 void TestFleet::SetTarget(const TestVm& vm, const std::string& query) {
   Call call;
   call.path = "/test/set?" + query;
--- a/tests/support/test_fleet.h
+++ b/tests/support/test_fleet.h
@@ -58,6 +58,8 @@
   std::vector<std::unique_ptr<TestVm>>& Vms() { return this->vms; }
   boost::json::value Status(const TestVm& vm);
   boost::json::value TargetLog(const TestVm& vm);
+  /// The requests that a target began to run.
+  boost::json::array Runs(const TestVm& vm);
   void SetTarget(const TestVm& vm, const std::string& query);
   const std::string& Folder() const { return this->folder; }
 
