Hold customers to rate and burst by minted, lent tokens

Cause: an even static part per node refuses a customer that leans on one entry although it is inside its rate.

--- /dev/null
+++ b/src/coordination/stock_set.h
@@ -0,0 +1,76 @@
+#ifndef DAISYWINCH_COORDINATION_STOCK_SET_H
+#define DAISYWINCH_COORDINATION_STOCK_SET_H
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "coordination/token_messages.h"
+#include "state/snapshot.h"
+#include "state/token_stock.h"
+
+namespace daisywinch {
+
+/// A request and the VM that it goes to.
+struct AddressedTokenRequest {
+  std::string vm;
+  TokenRequest request;
+};
+
+/// The stocks of tokens of one entry, one for each customer.
+class StockSet {
+ public:
+  /// `seed` sets off the request ids of this process from those of others.
+  StockSet(std::string data_centre, std::uint64_t seed);
+
+  /// Spends one token of a customer.
+  bool Take(const std::string& customer, TimePoint now);
+
+  /// Requests that report what was spent and draw what is wanted, at most one
+  /// for each minter.
+  ///
+  /// The own data centre's minters are asked first; those of the others are
+  /// asked as well while their tokens do not meet the demand.
+  std::vector<AddressedTokenRequest> MakeRequests(const Snapshot& snapshot,
+                                                  TimePoint now);
+
+  /// Takes the grants of a reply. Each request is good for one reply, in time
+  /// for the leases counted from its sending.
+  void TakeReply(const std::string& vm, const TokenReply& reply, TimePoint now);
+
+ private:
+  struct CustomerStock {
+    explicit CustomerStock(Duration lease) : tokens(lease) {}
+
+    TokenStock tokens;
+    /// Tokens that the last requests asked for and got.
+    double asked_for = 0;
+    double got = 0;
+    /// Minters by data centre for the snapshot that they were worked out for.
+    std::map<std::string, std::vector<std::string>> minters;
+  };
+
+  void UpdateMinters(const Snapshot& snapshot);
+  void AddDraws(const std::string& customer,
+                CustomerStock& stock,
+                TimePoint now,
+                std::map<std::string, TokenRequest>& requests);
+
+  /// A request whose reply has not come.
+  struct OpenRequest {
+    std::string vm;
+    TimePoint asked_at;
+  };
+
+  std::string data_centre;
+  std::uint64_t next_request_id;
+  std::map<std::uint64_t, OpenRequest> open_requests;
+  std::map<std::string, CustomerStock> stocks;
+  std::uint64_t planned_configuration = 0;
+  std::uint64_t planned_vm_list = 0;
+};
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_COORDINATION_STOCK_SET_H
--- /dev/null
+++ b/src/state/token_stock.h
@@ -0,0 +1,77 @@
+#ifndef DAISYWINCH_STATE_TOKEN_STOCK_H
+#define DAISYWINCH_STATE_TOKEN_STOCK_H
+
+#include <cstdint>
+#include <list>
+#include <string>
+#include <vector>
+
+#include "state/clock.h"
+#include "state/token_minter.h"
+
+namespace daisywinch {
+
+/// What a holder tells the minter of a grant.
+struct GrantReport {
+  std::string minter;
+  std::uint64_t minter_incarnation = 0;
+  std::uint64_t grant_id = 0;
+  /// Tokens spent since the grant was given.
+  double spent = 0;
+  /// The holder has given up the rest of the grant.
+  bool closed = false;
+};
+
+/// Tokens of one customer that an entry has drawn ahead.
+class TokenStock {
+ public:
+  /// `lease` is counted from before each grant was asked for.
+  explicit TokenStock(Duration lease);
+
+  void AddGrant(const std::string& minter,
+                std::uint64_t minter_incarnation,
+                const TokenGrant& grant,
+                TimePoint asked_at);
+
+  /// Spends one token if there is one whose lease has not ended.
+  bool Take(TimePoint now);
+
+  /// Tokens to ask for, by recent demand; 0 when there are enough.
+  double Wanted(TimePoint now);
+  double Available(TimePoint now);
+  /// Whether tokens were asked of this stock lately.
+  bool IsInUse(TimePoint now) const;
+
+  /// Reports what was spent since the last time, and closes grants that are
+  /// spent or more than the demand needs.
+  std::vector<GrantReport> CollectReports(TimePoint now);
+
+ private:
+  struct Held {
+    std::string minter;
+    std::uint64_t minter_incarnation = 0;
+    std::uint64_t grant_id = 0;
+    double amount = 0;
+    double spent = 0;
+    double reported = 0;
+    TimePoint ends_at;
+  };
+
+  void RemoveEnded(TimePoint now);
+  /// Tokens of grants that have not used up a part of their lease.
+  double AvailableUntil(TimePoint now, double lease_part) const;
+  void UpdateDemand(TimePoint now);
+
+  Duration lease;
+  std::list<Held> grants;
+  /// Tokens asked for since `demand_updated_at`.
+  double asked = 0;
+  /// Tokens asked for per second, smoothed.
+  double demand = 0;
+  TimePoint demand_updated_at;
+  TimePoint last_asked_at;
+};
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_STATE_TOKEN_STOCK_H
