--- a/src/coordination/fleet_view.cc
+++ b/src/coordination/fleet_view.cc
@@ -1,6 +1,5 @@
 #include "coordination/fleet_view.h"
 
-#include <memory>
 #include <utility>
 
 #include "state/object_reader.h"
@@ -82,14 +81,19 @@
   return this->vm_list.version;
 }
 
-bool FleetView::IsReady() const {
-  return this->configuration && !this->vm_list_text.empty();
+void FleetView::Release() {
+  this->released = true;
+  this->Publish();
 }
 
 void FleetView::Publish() {
-  if (this->IsReady()) {
-    this->snapshots.Publish(std::make_shared<const Snapshot>(
-        *this->configuration, this->vm_list, this->suspected));
+  if (!this->configuration || this->vm_list_text.empty()) {
+    return;
+  }
+  this->newest = std::make_shared<const Snapshot>(
+      *this->configuration, this->vm_list, this->suspected);
+  if (this->released) {
+    this->snapshots.Publish(this->newest);
   }
 }
 
--- a/src/coordination/fleet_view.h
+++ b/src/coordination/fleet_view.h
@@ -2,6 +2,7 @@
 #define DAISYWINCH_COORDINATION_FLEET_VIEW_H
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -26,7 +27,8 @@
 
 /// The newest configuration and VM list that this node knows, from any source.
 ///
-/// Versions only rise. Every accepted change is published as a snapshot.
+/// Versions only rise. Once released, every accepted change is published as a
+/// snapshot; before that a starting node may still learn of higher versions.
 /// Belongs to the control thread.
 class FleetView {
  public:
@@ -44,7 +46,18 @@
   }
   const std::string& VmListText() const { return this->vm_list_text; }
   const VmList& CurrentVmList() const { return this->vm_list; }
-  bool IsReady() const;
+  const std::optional<Configuration>& CurrentConfiguration() const {
+    return this->configuration;
+  }
+  /// The newest snapshot, published or not; null before both documents came.
+  std::shared_ptr<const Snapshot> NewestSnapshot() const {
+    return this->newest;
+  }
+
+  /// Publishes what is known and from now on every change.
+  void Release();
+  /// Whether snapshots are published.
+  bool IsReady() const { return this->released && this->newest; }
 
   /// What is wrong with the last document that was not valid.
   const std::string& LastReason() const { return this->last_reason; }
@@ -58,6 +71,8 @@
   VmList vm_list;
   std::string vm_list_text;
   std::set<std::string> suspected;
+  std::shared_ptr<const Snapshot> newest;
+  bool released = false;
   std::string last_reason;
 };
 
--- a/src/coordination/peer_table.cc
+++ b/src/coordination/peer_table.cc
@@ -8,8 +8,12 @@
 namespace {
 
 constexpr std::size_t kMostWitnesses = 6;
-/// Silence after which a peer is suspected: three rounds lost in a row.
-constexpr std::chrono::milliseconds kSuspicionTime = 3 * kHeartbeatInterval;
+/// Heartbeats without an echo, and the time since the first of them, after
+/// which a peer is suspected.
+constexpr std::size_t kSilentRounds = 3;
+constexpr std::chrono::milliseconds kSuspicionTime{1200};
+/// Heartbeats whose echo is still taken.
+constexpr std::size_t kMostUnanswered = 8;
 
 }  // namespace
 
@@ -72,14 +76,12 @@
 }
 
 Heartbeat PeerTable::MakeHeartbeat(const std::string& name, TimePoint now) {
-  Peer& peer = this->peers[name];
-  peer.nonce = this->random();
-  peer.nonce_sent_at = now;
-  if (!peer.is_waiting) {
-    peer.is_waiting = true;
-    peer.unanswered_since = now;
+  std::deque<SentHeartbeat>& unanswered = this->peers[name].unanswered;
+  unanswered.push_back({this->random(), now});
+  if (unanswered.size() > kMostUnanswered) {
+    unanswered.pop_front();
   }
-  return {this->OwnState(), peer.nonce};
+  return {this->OwnState(), unanswered.back().nonce};
 }
 
 Heartbeat PeerTable::MakeEcho(const Heartbeat& received) const {
@@ -104,19 +106,24 @@
   }
 }
 
-bool PeerTable::TakeEcho(const Heartbeat& echo, TimePoint now) {
+bool PeerTable::TakeEcho(const Heartbeat& echo) {
   const auto found = this->peers.find(echo.state.vm);
-  if (found == this->peers.end() || found->second.nonce != echo.nonce ||
-      !found->second.is_waiting) {
+  if (found == this->peers.end()) {
     return false;
   }
   Peer& peer = found->second;
+  const auto sent = std::find_if(peer.unanswered.begin(), peer.unanswered.end(),
+                                 [&echo](const SentHeartbeat& heartbeat) {
+                                   return heartbeat.nonce == echo.nonce;
+                                 });
+  if (sent == peer.unanswered.end()) {
+    return false;
+  }
   peer.incarnation = echo.state.incarnation;
-  peer.answered_at = peer.nonce_sent_at;
-  peer.is_waiting = false;
+  peer.answered_at = sent->sent_at;
   peer.has_answered = true;
+  peer.unanswered.erase(peer.unanswered.begin(), std::next(sent));
   peer.is_witness_valid = echo.state.vm_list_version <= this->vm_list_version;
-  static_cast<void>(now);
   this->TakeState(echo.state);
   return true;
 }
@@ -146,7 +153,12 @@
 std::set<std::string> PeerTable::Suspected(TimePoint now) const {
   std::set<std::string> names;
   for (const auto& [name, peer] : this->peers) {
-    if (peer.is_waiting && now - peer.unanswered_since > kSuspicionTime) {
+    // The number of heartbeats keeps a node that was itself paused from
+    // suspecting everyone when it wakes.
+    const bool is_silent =
+        peer.unanswered.size() >= kSilentRounds &&
+        now - peer.unanswered.front().sent_at > kSuspicionTime;
+    if (is_silent) {
       names.insert(name);
     }
   }
--- a/src/coordination/peer_table.h
+++ b/src/coordination/peer_table.h
@@ -2,6 +2,7 @@
 #define DAISYWINCH_COORDINATION_PEER_TABLE_H
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <random>
 #include <set>
@@ -51,6 +52,7 @@
   void SetConfigurationVersion(std::uint64_t version) {
     this->configuration_version = version;
   }
+  std::uint64_t VmListVersion() const { return this->vm_list_version; }
   void SetDraining() { this->draining = true; }
 
   /// Peers that are sent a heartbeat this round: the witnesses, and one node
@@ -63,7 +65,7 @@
   /// Takes what a peer tells of itself in a heartbeat.
   void TakeHeartbeat(const Heartbeat& received);
   /// Takes the echo of an own heartbeat; false if it is not one.
-  bool TakeEcho(const Heartbeat& echo, TimePoint now);
+  bool TakeEcho(const Heartbeat& echo);
 
   /// Whether half of the witnesses have lately answered, with no newer VM
   /// list than this node's.
@@ -78,15 +80,17 @@
   std::vector<std::string> LiveNeighbours(TimePoint now) const;
 
  private:
+  struct SentHeartbeat {
+    std::uint64_t nonce = 0;
+    TimePoint sent_at;
+  };
+
   struct Peer {
     std::uint64_t incarnation = 0;
-    std::uint64_t nonce = 0;
-    TimePoint nonce_sent_at;
+    /// Heartbeats since the last echo, oldest first.
+    std::deque<SentHeartbeat> unanswered;
     /// Sending time of the newest heartbeat that was echoed.
     TimePoint answered_at;
-    /// Sending time of the first heartbeat after the last echo.
-    TimePoint unanswered_since;
-    bool is_waiting = false;
     bool has_answered = false;
     /// The peer's list was not newer than this node's at its last echo.
     bool is_witness_valid = false;
--- a/src/coordination/stock_set.cc
+++ b/src/coordination/stock_set.cc
@@ -23,6 +23,16 @@
       .first->second.tokens.Take(now);
 }
 
+bool StockSet::IsInUse(const std::string& customer, TimePoint now) const {
+  const auto found = this->stocks.find(customer);
+  return found != this->stocks.end() && found->second.tokens.IsInUse(now);
+}
+
+bool StockSet::IsExhausted(const std::string& customer) const {
+  const auto found = this->stocks.find(customer);
+  return found != this->stocks.end() && found->second.exhausted;
+}
+
 std::vector<AddressedTokenRequest> StockSet::MakeRequests(
     const Snapshot& snapshot,
     TimePoint now) {
@@ -85,6 +95,8 @@
                         std::map<std::string, TokenRequest>& requests) {
   const double wanted = stock.tokens.Wanted(now);
   const bool was_short = stock.got < kShortPart * stock.asked_for;
+  stock.exhausted = stock.asked_everywhere && stock.got < 1;
+  stock.asked_everywhere = was_short;
   stock.asked_for = wanted;
   stock.got = 0;
   if (wanted <= 0) {
--- a/src/coordination/stock_set.h
+++ b/src/coordination/stock_set.h
@@ -27,6 +27,12 @@
   /// Spends one token of a customer.
   bool Take(const std::string& customer, TimePoint now);
 
+  /// Whether tokens of a customer were asked for lately.
+  bool IsInUse(const std::string& customer, TimePoint now) const;
+
+  /// Whether the last round of draws, from all data centres, gave nothing.
+  bool IsExhausted(const std::string& customer) const;
+
   /// Requests that report what was spent and draw what is wanted, at most one
   /// for each minter.
   ///
@@ -47,6 +53,8 @@
     /// Tokens that the last requests asked for and got.
     double asked_for = 0;
     double got = 0;
+    bool asked_everywhere = false;
+    bool exhausted = false;
     /// Minters by data centre for the snapshot that they were worked out for.
     std::map<std::string, std::vector<std::string>> minters;
   };
--- /dev/null
+++ b/src/node/control_service.cc
@@ -0,0 +1,396 @@
+#include "node/control_service.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "coordination/mint_plan.h"
+#include "protocol/control_codec.h"
+#include "state/event_log.h"
+#include "state/key_digest.h"
+
+namespace daisywinch {
+
+namespace {
+
+/// Nodes of each data centre that watch a value of the platform.
+constexpr std::size_t kWatchersPerDataCentre = 2;
+/// Longest time that a starting node waits for its peers to confirm that its
+/// versions are the newest.
+constexpr std::chrono::milliseconds kConfirmationTime{1500};
+/// Time after which a document that did not come is asked for again.
+constexpr std::chrono::milliseconds kDocumentRequestInterval{300};
+
+}  // namespace
+
+ControlService::ControlService(asio::io_context& context,
+                               const Clock& clock,
+                               const Settings& settings,
+                               std::uint64_t incarnation,
+                               FleetView& fleet_view,
+                               TokenReceiver token_receiver)
+    : context(context),
+      clock(clock),
+      settings(settings),
+      incarnation(incarnation),
+      fleet_view(fleet_view),
+      token_receiver(std::move(token_receiver)),
+      seal(settings.fleet_secret, incarnation),
+      socket(context, [this](std::string sealed) { this->Receive(sealed); }),
+      peers(settings.vm, settings.data_centre, incarnation, incarnation),
+      schedule(clock.Now()),
+      minters(incarnation) {}
+
+bool ControlService::Start() {
+  if (!this->socket.Listen(this->settings.control_address)) {
+    LogEvent(EventId::kPortUnavailable,
+             {{"address", this->settings.control_address.ToString()},
+              {"reason", this->socket.LastReason()}});
+    return false;
+  }
+  asio::co_spawn(this->context, this->RunHeartbeats(), asio::detached);
+  return true;
+}
+
+Awaitable<> ControlService::RunHeartbeats() {
+  while (true) {
+    this->SendHeartbeats();
+    this->ReportSuspicion();
+    this->ReleaseWhenConfirmed();
+    this->Settle();
+    Timer timer(this->context, kHeartbeatInterval);
+    ErrorCode ignored;
+    co_await timer.async_wait(Await(ignored));
+  }
+}
+
+void ControlService::SendHeartbeats() {
+  const TimePoint now = this->clock.Now();
+  for (const std::string& peer : this->peers.ChoosePeers()) {
+    protocol::ControlMessage message =
+        this->MakeMessage(this->peers.IncarnationOf(peer));
+    *message.mutable_heartbeat() =
+        EncodeHeartbeat(this->peers.MakeHeartbeat(peer, now));
+    this->Send(peer, message);
+  }
+}
+
+void ControlService::ReportSuspicion() {
+  const std::set<std::string> now_suspected =
+      this->peers.Suspected(this->clock.Now());
+  for (const std::string& vm : now_suspected) {
+    if (!this->suspected.contains(vm)) {
+      LogEvent(EventId::kPeerSuspected, {{"vm", vm}});
+    }
+  }
+  for (const std::string& vm : this->suspected) {
+    if (!now_suspected.contains(vm)) {
+      LogEvent(EventId::kPeerRestored, {{"vm", vm}});
+    }
+  }
+  this->suspected = now_suspected;
+  this->fleet_view.SetSuspected(this->suspected);
+}
+
+void ControlService::ReleaseWhenConfirmed() {
+  if (this->released || !this->known_since) {
+    return;
+  }
+  const TimePoint now = this->clock.Now();
+  // Half of the witnesses answering with no newer list is the same condition.
+  if (this->peers.MayMint(now) ||
+      now - *this->known_since > kConfirmationTime) {
+    this->released = true;
+    this->fleet_view.Release();
+    LogEvent(EventId::kNodeReady, {{"vm", this->settings.vm}});
+  }
+}
+
+void ControlService::Settle() {
+  const TimePoint now = this->clock.Now();
+  const std::optional<Configuration>& configuration =
+      this->fleet_view.CurrentConfiguration();
+  if (configuration && this->schedule.Settle(this->peers.Knowledge(), now)) {
+    this->minters.SetFractions(this->schedule.Fractions(), *configuration, now);
+  }
+}
+
+void ControlService::OfferConfiguration(const std::string& text,
+                                        std::string_view source) {
+  this->TakeAcceptance(this->fleet_view.OfferConfiguration(text),
+                       protocol::DOCUMENT_KIND_CONFIGURATION, source);
+}
+
+void ControlService::OfferVmList(const std::string& text,
+                                 std::string_view source) {
+  this->TakeAcceptance(this->fleet_view.OfferVmList(text),
+                       protocol::DOCUMENT_KIND_VM_LIST, source);
+}
+
+void ControlService::TakeAcceptance(Acceptance acceptance,
+                                    protocol::DocumentKind kind,
+                                    std::string_view source) {
+  const bool is_configuration = kind == protocol::DOCUMENT_KIND_CONFIGURATION;
+  const std::string_view document = is_configuration ? "configuration" : "vms";
+  switch (acceptance) {
+    case Acceptance::kInForce:
+      LogEvent(is_configuration ? EventId::kConfigurationInForce
+                                : EventId::kVmListInForce,
+               {{"version", is_configuration
+                                ? this->fleet_view.ConfigurationVersion()
+                                : this->fleet_view.VmListVersion()},
+                {"source", source}});
+      this->ApplyFleetView();
+      break;
+    case Acceptance::kInvalid:
+      ++this->configurations_refused;
+      LogEvent(is_configuration ? EventId::kConfigurationRefused
+                                : EventId::kVmListRefused,
+               {{"source", source}, {"reason", this->fleet_view.LastReason()}});
+      break;
+    case Acceptance::kOlder:
+      LogEvent(EventId::kVersionBehind,
+               {{"document", document}, {"source", source}});
+      break;
+    case Acceptance::kSame:
+      break;
+  }
+}
+
+void ControlService::ApplyFleetView() {
+  const TimePoint now = this->clock.Now();
+  const VmList& list = this->fleet_view.CurrentVmList();
+  if (this->peers.VmListVersion() != list.version) {
+    this->peers.SetVmList(list);
+    std::set<std::string> addresses;
+    for (const Vm& vm : list.vms) {
+      addresses.insert(vm.control_address.ToString());
+    }
+    this->socket.KeepOnly(addresses);
+  }
+  this->peers.SetConfigurationVersion(this->fleet_view.ConfigurationVersion());
+  const std::shared_ptr<const Snapshot> snapshot =
+      this->fleet_view.NewestSnapshot();
+  if (!snapshot) {
+    return;
+  }
+  if (!this->known_since) {
+    this->known_since = now;
+  }
+  std::set<std::string> neighbours;
+  for (const Vm& vm : list.vms) {
+    if (vm.data_centre == this->settings.data_centre) {
+      neighbours.insert(vm.name);
+    }
+  }
+  this->schedule.SetPlan(
+      MintFractions(*snapshot, this->settings.vm, this->settings.data_centre),
+      neighbours, now);
+  this->minters.SetFractions(this->schedule.Fractions(),
+                             snapshot->CurrentConfiguration(), now);
+  // News goes on at once; the regular rounds heal what is lost.
+  this->SendHeartbeats();
+}
+
+void ControlService::Drain() {
+  this->peers.SetDraining();
+  this->SendHeartbeats();
+}
+
+bool ControlService::ShouldWatch(const std::string& value_name) const {
+  std::vector<std::string> live = this->peers.LiveNeighbours(this->clock.Now());
+  if (live.empty()) {
+    return true;
+  }
+  std::sort(live.begin(), live.end(),
+            [&](const std::string& left, const std::string& right) {
+              return Sha256Hex(left + value_name) <
+                     Sha256Hex(right + value_name);
+            });
+  live.resize(std::min(live.size(), kWatchersPerDataCentre));
+  return std::find(live.begin(), live.end(), this->settings.vm) != live.end();
+}
+
+boost::json::object ControlService::Status() const {
+  const TimePoint now = this->clock.Now();
+  boost::json::object parts;
+  for (const auto& [customer, part] : this->schedule.Fractions()) {
+    parts[customer] = part;
+  }
+  const ListKnowledge knowledge = this->peers.Knowledge();
+  return {{"may_mint", this->peers.MayMint(now)},
+          {"mint_parts", std::move(parts)},
+          {"mint_parts_settled", this->schedule.IsSettled()},
+          {"nodes_behind_on_vm_list", knowledge.not_applied},
+          {"suspected",
+           boost::json::array(this->suspected.begin(), this->suspected.end())},
+          {"rejected_messages", this->rejected_messages},
+          {"documents_refused", this->configurations_refused},
+          {"sent_bytes", this->socket.SentBytes()},
+          {"sent_messages", this->socket.SentMessages()}};
+}
+
+protocol::ControlMessage ControlService::MakeMessage(
+    std::uint64_t recipient) const {
+  protocol::ControlMessage message;
+  message.set_sender_vm(this->settings.vm);
+  message.set_sender_incarnation(this->incarnation);
+  message.set_recipient_incarnation(recipient);
+  return message;
+}
+
+void ControlService::Send(const std::string& vm,
+                          const protocol::ControlMessage& message) {
+  const Vm* recipient = this->fleet_view.CurrentVmList().Find(vm);
+  if (recipient != nullptr) {
+    this->socket.Send(recipient->control_address,
+                      this->seal.Seal(message.SerializeAsString()));
+  }
+}
+
+void ControlService::Receive(const std::string& sealed) {
+  const std::optional<std::string> opened = this->seal.Open(sealed);
+  protocol::ControlMessage message;
+  if (!opened || !message.ParseFromString(*opened)) {
+    ++this->rejected_messages;
+    if (this->rejected_messages == 1) {
+      LogEvent(EventId::kPeerRejected, {{"port", "control"}});
+    }
+    return;
+  }
+  // Only a heartbeat may come from a node that does not know this process.
+  const bool is_for_this_process =
+      message.recipient_incarnation() == this->incarnation;
+  if (is_for_this_process || message.has_heartbeat()) {
+    this->Dispatch(message);
+  }
+}
+
+void ControlService::Dispatch(const protocol::ControlMessage& message) {
+  switch (message.content_case()) {
+    case protocol::ControlMessage::kHeartbeat:
+      this->TakeHeartbeat(message);
+      break;
+    case protocol::ControlMessage::kEcho:
+      this->TakeEcho(message);
+      break;
+    case protocol::ControlMessage::kTokenRequest:
+      this->AnswerTokenRequest(message);
+      break;
+    case protocol::ControlMessage::kTokenReply:
+      this->token_receiver(message.sender_vm(),
+                           DecodeTokenReply(message, message.token_reply()));
+      break;
+    case protocol::ControlMessage::kDocumentRequest:
+      this->AnswerDocumentRequest(message);
+      break;
+    case protocol::ControlMessage::kDocumentOffer:
+      this->TakeDocument(message);
+      break;
+    case protocol::ControlMessage::CONTENT_NOT_SET:
+      break;
+  }
+}
+
+void ControlService::TakeHeartbeat(const protocol::ControlMessage& message) {
+  const Heartbeat heartbeat = DecodeHeartbeat(message, message.heartbeat());
+  this->peers.TakeHeartbeat(heartbeat);
+  protocol::ControlMessage echo =
+      this->MakeMessage(message.sender_incarnation());
+  *echo.mutable_echo() = EncodeHeartbeat(this->peers.MakeEcho(heartbeat));
+  this->Send(message.sender_vm(), echo);
+  this->RequestNewerDocuments(heartbeat);
+}
+
+void ControlService::TakeEcho(const protocol::ControlMessage& message) {
+  const Heartbeat echo = DecodeHeartbeat(message, message.echo());
+  if (this->peers.TakeEcho(echo)) {
+    this->RequestNewerDocuments(echo);
+    this->ReleaseWhenConfirmed();
+    this->Settle();
+  }
+}
+
+void ControlService::RequestNewerDocuments(const Heartbeat& heartbeat) {
+  const TimePoint now = this->clock.Now();
+  const auto request = [&](protocol::DocumentKind kind,
+                           TimePoint& requested_at) {
+    if (now - requested_at < kDocumentRequestInterval) {
+      return;
+    }
+    requested_at = now;
+    protocol::ControlMessage message =
+        this->MakeMessage(heartbeat.state.incarnation);
+    message.mutable_document_request()->set_kind(kind);
+    this->Send(heartbeat.state.vm, message);
+  };
+  if (heartbeat.state.configuration_version >
+      this->fleet_view.ConfigurationVersion()) {
+    request(protocol::DOCUMENT_KIND_CONFIGURATION,
+            this->configuration_requested_at);
+  }
+  if (heartbeat.state.vm_list_version > this->fleet_view.VmListVersion()) {
+    request(protocol::DOCUMENT_KIND_VM_LIST, this->vm_list_requested_at);
+  }
+}
+
+void ControlService::AnswerDocumentRequest(
+    const protocol::ControlMessage& message) {
+  const protocol::DocumentKind kind = message.document_request().kind();
+  protocol::ControlMessage answer =
+      this->MakeMessage(message.sender_incarnation());
+  protocol::DocumentOffer* offer = answer.mutable_document_offer();
+  offer->set_kind(kind);
+  offer->set_text(kind == protocol::DOCUMENT_KIND_CONFIGURATION
+                      ? this->fleet_view.ConfigurationText()
+                      : this->fleet_view.VmListText());
+  this->Send(message.sender_vm(), answer);
+}
+
+void ControlService::TakeDocument(const protocol::ControlMessage& message) {
+  const protocol::DocumentOffer& offer = message.document_offer();
+  if (offer.kind() == protocol::DOCUMENT_KIND_CONFIGURATION) {
+    this->OfferConfiguration(offer.text(), message.sender_vm());
+  } else if (offer.kind() == protocol::DOCUMENT_KIND_VM_LIST) {
+    this->OfferVmList(offer.text(), message.sender_vm());
+  }
+}
+
+void ControlService::SendTokenRequest(const AddressedTokenRequest& addressed) {
+  if (addressed.vm == this->settings.vm) {
+    const TimePoint now = this->clock.Now();
+    this->token_receiver(
+        addressed.vm,
+        this->minters.Handle(addressed.request, this->peers.MayMint(now), now));
+    return;
+  }
+  const std::uint64_t recipient = this->peers.IncarnationOf(addressed.vm);
+  if (recipient == 0) {
+    // Never heard of: a heartbeat makes the acquaintance for the next time.
+    protocol::ControlMessage message = this->MakeMessage(0);
+    *message.mutable_heartbeat() = EncodeHeartbeat(
+        this->peers.MakeHeartbeat(addressed.vm, this->clock.Now()));
+    this->Send(addressed.vm, message);
+    return;
+  }
+  protocol::ControlMessage message = this->MakeMessage(recipient);
+  *message.mutable_token_request() = EncodeTokenRequest(addressed.request);
+  this->Send(addressed.vm, message);
+}
+
+void ControlService::AnswerTokenRequest(
+    const protocol::ControlMessage& message) {
+  const TimePoint now = this->clock.Now();
+  const TokenReply reply =
+      this->minters.Handle(DecodeTokenRequest(message.token_request()),
+                           this->peers.MayMint(now), now);
+  protocol::ControlMessage answer =
+      this->MakeMessage(message.sender_incarnation());
+  *answer.mutable_token_reply() = EncodeTokenReply(reply);
+  this->Send(message.sender_vm(), answer);
+}
+
+}  // namespace daisywinch
--- a/src/node/entry.cc
+++ b/src/node/entry.cc
@@ -19,6 +19,8 @@
 constexpr int kServerError = 500;
 constexpr std::size_t kLongestIdempotencyKey = 256;
 constexpr int kRootIdBytes = 4;
+/// Other targets that a request is sent to after one did not receive it.
+constexpr int kMostRedirects = 3;
 constexpr std::string_view kFirstAttempt = "1";
 
 /// Whether a request that ended like this has cost the target its work.
@@ -27,6 +29,16 @@
          reply.status() >= kServerError;
 }
 
+/// Whether no target has spent anything on the request: sending it elsewhere
+/// is not a retry.
+bool WasNotReceived(const protocol::CallReply& reply) {
+  const RefusalReason reason = static_cast<RefusalReason>(reply.reason());
+  return reply.outcome() == protocol::OUTCOME_NOT_RUN &&
+         (reason == RefusalReason::kTargetUnreachable ||
+          reason == RefusalReason::kDraining ||
+          reason == RefusalReason::kNotReady);
+}
+
 std::string_view BearerKey(const HttpRequest& request) {
   const std::string_view value = request[http::field::authorization];
   return value.starts_with(kBearerPrefix) ? value.substr(kBearerPrefix.size())
@@ -96,8 +108,10 @@
 ///
 /// A refusal of this request then says nothing about the earlier ones, unless
 /// it comes from the gate that keeps their record.
+/// Where the route is not known yet, it may be one that runs at most once.
 bool MayRepeatEarlier(const HttpRequest& request, const Route* route) {
-  return route != nullptr && !route->repeatable &&
+  const bool is_repeatable = route != nullptr && route->repeatable;
+  return !is_repeatable &&
          !std::string_view(request[kIdempotencyKeyHeader]).empty() &&
          request[kAttemptHeader] != kFirstAttempt;
 }
@@ -127,6 +141,7 @@
              std::uint64_t seed,
              const SnapshotHolder& snapshots,
              HandleTable& handles,
+             RateLimiter& rate_limiter,
              CallSender& sender)
     : context(context),
       clock(clock),
@@ -136,7 +151,7 @@
       sender(sender),
       chooser(settings.data_centre, seed),
       retry_budget(kInitialRetryRatio, kRetryBudgetCapacity),
-      rate_limiter(settings.data_centre, clock),
+      rate_limiter(rate_limiter),
       root_id_prefix(settings.vm + "-" + RandomHex(kRootIdBytes) + "-") {}
 
 Awaitable<HttpResponse> Entry::Handle(
@@ -145,13 +160,13 @@
   const TimePoint started = this->clock.Now();
   RefusalReason reason = RefusalReason::kNone;
   std::optional<Call> call;
-  bool may_repeat_earlier = false;
+  bool may_repeat_earlier = MayRepeatEarlier(request, nullptr);
   const std::shared_ptr<const Snapshot> snapshot = this->snapshots.Load();
   if (snapshot) {
     const Route* route =
         snapshot->Routes().Find(request.method_string(), request.target());
     may_repeat_earlier = MayRepeatEarlier(request, route);
-    call = this->Admit(snapshot, route, request, reason);
+    call = co_await this->Admit(snapshot, route, request, reason);
   } else {
     reason = RefusalReason::kNotReady;
   }
@@ -193,7 +208,7 @@
   co_return MakeResponse(std::move(reply), may_repeat_earlier);
 }
 
-std::optional<Entry::Call> Entry::Admit(
+Awaitable<std::optional<Entry::Call>> Entry::Admit(
     std::shared_ptr<const Snapshot> snapshot,
     const Route* route,
     HttpRequest& request,
@@ -201,7 +216,13 @@
   Call call;
   call.snapshot = std::move(snapshot);
   call.route = route;
-  const bool admitted = this->Identify(request, call, reason);
+  bool admitted = this->Identify(request, call, reason);
+  const bool is_counted =
+      call.parent_handle.empty() && !call.context.customer.empty();
+  if (admitted && is_counted) {
+    admitted = co_await this->rate_limiter.Take(call.context.customer);
+    reason = admitted ? reason : RefusalReason::kOverRate;
+  }
   if (!admitted) {
     this->journal.Add({this->clock.Now(), call.context.customer,
                        call.route == nullptr ? "" : call.route->name, reason,
@@ -209,7 +230,7 @@
     this->metrics.Record(call.context.customer, call.context.request_class,
                          static_cast<std::uint32_t>(reason), Duration::zero(),
                          Duration::zero());
-    return std::nullopt;
+    co_return std::nullopt;
   }
   call.idempotency_key = std::string(request[kIdempotencyKeyHeader]);
   protocol::CallRequest& message = call.message;
@@ -222,7 +243,7 @@
   message.set_idempotency_key(call.idempotency_key);
   message.set_first_attempt(request[kAttemptHeader] == kFirstAttempt);
   FillMessage(request, message);
-  return call;
+  co_return call;
 }
 
 bool Entry::Identify(const HttpRequest& request,
@@ -282,11 +303,6 @@
     reason = RefusalReason::kDraining;
     return false;
   }
-  if (!call.context.customer.empty() &&
-      !this->rate_limiter.Take(*call.snapshot, call.context.customer)) {
-    reason = RefusalReason::kOverRate;
-    return false;
-  }
   return true;
 }
 
@@ -301,6 +317,7 @@
           ? std::string()
           : call.context.customer + "\n" + call.idempotency_key;
   std::set<std::string> tried;
+  int redirects = 0;
   protocol::CallReply reply = MakeRefusedReply(RefusalReason::kNoTarget);
   while (true) {
     const Vm* target = this->chooser.Choose(
@@ -319,7 +336,15 @@
     tried.insert(target->name);
     reply = co_await this->SendOnce(call, *target, cancellation);
     call.retries_left = reply.retries_left();
-    if (cancellation->IsCancelled() || !this->MayRetry(call, reply)) {
+    if (cancellation->IsCancelled() ||
+        this->clock.Now() >= call.context.deadline) {
+      co_return reply;
+    }
+    if (WasNotReceived(reply) && redirects < kMostRedirects) {
+      ++redirects;
+      continue;
+    }
+    if (!this->MayRetry(call, reply)) {
       co_return reply;
     }
     --call.retries_left;
@@ -355,9 +380,7 @@
       reply.outcome() == protocol::OUTCOME_UNKNOWN || IsServerError(reply);
   const bool useful =
       not_run || (failed && call.route->repeatable && !reply.failed_below());
-  return useful && call.retries_left > 0 &&
-         this->clock.Now() < call.context.deadline &&
-         this->retry_budget.TakeRetry();
+  return useful && call.retries_left > 0 && this->retry_budget.TakeRetry();
 }
 
 void Entry::TakeReply(const Call& call,
--- a/src/node/entry.h
+++ b/src/node/entry.h
@@ -37,6 +37,7 @@
         std::uint64_t seed,
         const SnapshotHolder& snapshots,
         HandleTable& handles,
+        RateLimiter& rate_limiter,
         CallSender& sender);
 
   Awaitable<HttpResponse> Handle(HttpRequest request,
@@ -63,10 +64,10 @@
   };
 
   /// Decides whether a request may go on; sets the reason when it may not.
-  std::optional<Call> Admit(std::shared_ptr<const Snapshot> snapshot,
-                            const Route* route,
-                            HttpRequest& request,
-                            RefusalReason& reason);
+  Awaitable<std::optional<Call>> Admit(std::shared_ptr<const Snapshot> snapshot,
+                                       const Route* route,
+                                       HttpRequest& request,
+                                       RefusalReason& reason);
   bool Identify(const HttpRequest& request, Call& call, RefusalReason& reason);
   Awaitable<protocol::CallReply> SendWithRetries(
       Call& call,
@@ -88,7 +89,7 @@
   CallSender& sender;
   TargetChooser chooser;
   RetryBudget retry_budget;
-  RateLimiter rate_limiter;
+  RateLimiter& rate_limiter;
   CallMetrics metrics;
   RefusalJournal journal;
   std::uint64_t next_root_id = 1;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 
 #include "state/event_log.h"
 #include "state/key_digest.h"
@@ -13,11 +14,11 @@
 
 namespace {
 
-constexpr int kIncarnationBytes = 6;
 constexpr std::size_t kFrameOverhead = 64 * 1024;
 constexpr std::chrono::milliseconds kDrainCheckInterval{20};
 constexpr char kConfigurationValue[] = "daisywinch.configuration";
 constexpr char kVmListValue[] = "vms";
+constexpr std::string_view kPlatformSource = "platform";
 
 HttpLimits CallerLimits(const Settings& settings) {
   HttpLimits limits;
@@ -25,6 +26,13 @@
   return limits;
 }
 
+/// Identifies this run of the process; later runs get higher numbers.
+std::uint64_t MakeIncarnation() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 std::uint64_t RandomSeed() {
   return std::stoull(RandomHex(sizeof(std::uint64_t)), nullptr, 16);
 }
@@ -33,11 +41,31 @@
 
 Node::Node(const Settings& settings)
     : settings(settings),
-      incarnation(RandomHex(kIncarnationBytes)),
-      handles(this->incarnation, this->clock),
+      incarnation(MakeIncarnation()),
+      handles(std::to_string(this->incarnation), this->clock),
       entry_tls(MakePskContext(settings.fleet_secret)),
       gate_tls(MakePskContext(settings.fleet_secret)),
       fleet_view(this->snapshots),
+      control(this->control_context,
+              this->clock,
+              this->settings,
+              this->incarnation,
+              this->fleet_view,
+              [this](const std::string& vm, const TokenReply& reply) {
+                asio::post(this->entry_context, [this, vm, reply] {
+                  this->rate_limiter.TakeReply(vm, reply);
+                });
+              }),
+      rate_limiter(this->entry_context,
+                   this->clock,
+                   settings.data_centre,
+                   RandomSeed(),
+                   this->snapshots,
+                   [this](const AddressedTokenRequest& request) {
+                     asio::post(this->control_context, [this, request] {
+                       this->control.SendTokenRequest(request);
+                     });
+                   }),
       gate(this->gate_context,
            this->clock,
            this->settings,
@@ -56,6 +84,7 @@
             RandomSeed(),
             this->snapshots,
             this->handles,
+            this->rate_limiter,
             this->router),
       caller_server(this->entry_context,
                     CallerLimits(settings),
@@ -75,6 +104,7 @@
       operator_service(this->settings,
                        this->incarnation,
                        this->fleet_view,
+                       this->control,
                        this->entry_context,
                        this->entry,
                        this->gate_context,
@@ -90,18 +120,25 @@
           this->control_context,
           settings.platform_address,
           kConfigurationValue,
-          [this](const std::string& text) { this->TakeConfiguration(text); }),
+          [this](const std::string& text) {
+            this->control.OfferConfiguration(text, kPlatformSource);
+          },
+          [this] { return this->control.ShouldWatch(kConfigurationValue); }),
       vm_list_watcher(
           this->control_context,
           settings.platform_address,
           kVmListValue,
-          [this](const std::string& text) { this->TakeVmList(text); }),
+          [this](const std::string& text) {
+            this->control.OfferVmList(text, kPlatformSource);
+          },
+          [this] { return this->control.ShouldWatch(kVmListValue); }),
       signals(this->control_context, SIGTERM, SIGINT) {}
 
 int Node::Run() {
-  if (!this->Listen()) {
+  if (!this->Listen() || !this->control.Start()) {
     return EXIT_FAILURE;
   }
+  this->rate_limiter.Start();
   this->configuration_watcher.Start();
   this->vm_list_watcher.Start();
   asio::co_spawn(this->control_context, this->ShutDownOnSignal(),
@@ -136,57 +173,13 @@
                 this->operator_server.Listen(this->settings.operator_address));
 }
 
-void Node::TakeConfiguration(const std::string& text) {
-  switch (this->fleet_view.OfferConfiguration(text)) {
-    case Acceptance::kInForce:
-      LogEvent(EventId::kConfigurationInForce,
-               {{"version", this->fleet_view.ConfigurationVersion()}});
-      this->ReportReadiness();
-      break;
-    case Acceptance::kInvalid:
-      LogEvent(EventId::kConfigurationRefused,
-               {{"reason", this->fleet_view.LastReason()}});
-      break;
-    case Acceptance::kOlder:
-      LogEvent(EventId::kVersionBehind, {{"document", "configuration"}});
-      break;
-    case Acceptance::kSame:
-      break;
-  }
-}
-
-void Node::TakeVmList(const std::string& text) {
-  switch (this->fleet_view.OfferVmList(text)) {
-    case Acceptance::kInForce:
-      LogEvent(EventId::kVmListInForce,
-               {{"version", this->fleet_view.VmListVersion()}});
-      this->ReportReadiness();
-      break;
-    case Acceptance::kInvalid:
-      LogEvent(EventId::kVmListRefused,
-               {{"reason", this->fleet_view.LastReason()}});
-      break;
-    case Acceptance::kOlder:
-      LogEvent(EventId::kVersionBehind, {{"document", "vms"}});
-      break;
-    case Acceptance::kSame:
-      break;
-  }
-}
-
-void Node::ReportReadiness() {
-  if (this->fleet_view.IsReady() && !this->reported_ready) {
-    this->reported_ready = true;
-    LogEvent(EventId::kNodeReady, {{"vm", this->settings.vm}});
-  }
-}
-
 Awaitable<> Node::ShutDownOnSignal() {
   ErrorCode error;
   co_await this->signals.async_wait(Await(error));
   LogEvent(EventId::kShutdownStarted, {{"vm", this->settings.vm}});
   this->entry.Drain();
   this->gate.Drain();
+  this->control.Drain();
   const TimePoint latest = this->clock.Now() + this->settings.shutdown_timeout;
   const auto is_idle = [this] {
     return this->gate.CallsInProgress() == 0 &&
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -10,11 +10,13 @@
 #include <boost/asio/ssl/context.hpp>
 
 #include "coordination/fleet_view.h"
+#include "node/control_service.h"
 #include "node/entry.h"
 #include "node/gate.h"
 #include "node/gate_router.h"
 #include "node/operator_service.h"
 #include "node/platform_watcher.h"
+#include "node/rate_limiter.h"
 #include "state/clock.h"
 #include "state/settings.h"
 #include "transport/call_server.h"
@@ -33,14 +35,11 @@
 
  private:
   bool Listen();
-  void TakeConfiguration(const std::string& text);
-  void TakeVmList(const std::string& text);
-  void ReportReadiness();
   Awaitable<> ShutDownOnSignal();
 
   Settings settings;
   SystemClock clock;
-  std::string incarnation;
+  std::uint64_t incarnation;
   SnapshotHolder snapshots;
   HandleTable handles;
   asio::io_context control_context{1};
@@ -50,6 +49,8 @@
   asio::ssl::context entry_tls;
   asio::ssl::context gate_tls;
   FleetView fleet_view;
+  ControlService control;
+  RateLimiter rate_limiter;
   Gate gate;
   GateRouter router;
   Entry entry;
@@ -60,7 +61,6 @@
   PlatformWatcher configuration_watcher;
   PlatformWatcher vm_list_watcher;
   asio::signal_set signals;
-  bool reported_ready = false;
 };
 
 }  // namespace daisywinch
--- a/src/node/operator_service.cc
+++ b/src/node/operator_service.cc
@@ -53,15 +53,17 @@
 }  // namespace
 
 OperatorService::OperatorService(const Settings& settings,
-                                 std::string incarnation,
+                                 std::uint64_t incarnation,
                                  const FleetView& fleet_view,
+                                 const ControlService& control,
                                  asio::io_context& entry_context,
                                  const Entry& entry,
                                  asio::io_context& gate_context,
                                  const Gate& gate)
     : settings(settings),
-      incarnation(std::move(incarnation)),
+      incarnation(incarnation),
       fleet_view(fleet_view),
+      control(control),
       entry_context(entry_context),
       entry(entry),
       gate_context(gate_context),
@@ -106,6 +108,7 @@
       {"ready", this->fleet_view.IsReady()},
       {"configuration_version", this->fleet_view.ConfigurationVersion()},
       {"vm_list_version", this->fleet_view.VmListVersion()},
+      {"fleet", this->control.Status()},
       {"gate", gate_status}};
   co_return boost::json::serialize(status);
 }
--- a/src/node/operator_service.h
+++ b/src/node/operator_service.h
@@ -1,12 +1,14 @@
 #ifndef DAISYWINCH_NODE_OPERATOR_SERVICE_H
 #define DAISYWINCH_NODE_OPERATOR_SERVICE_H
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
 #include <boost/json.hpp>
 
 #include "coordination/fleet_view.h"
+#include "node/control_service.h"
 #include "node/entry.h"
 #include "node/gate.h"
 #include "state/settings.h"
@@ -22,8 +24,9 @@
 class OperatorService {
  public:
   OperatorService(const Settings& settings,
-                  std::string incarnation,
+                  std::uint64_t incarnation,
                   const FleetView& fleet_view,
+                  const ControlService& control,
                   asio::io_context& entry_context,
                   const Entry& entry,
                   asio::io_context& gate_context,
@@ -38,8 +41,9 @@
   Awaitable<std::string> Metrics();
 
   const Settings& settings;
-  std::string incarnation;
+  std::uint64_t incarnation;
   const FleetView& fleet_view;
+  const ControlService& control;
   asio::io_context& entry_context;
   const Entry& entry;
   asio::io_context& gate_context;
--- a/src/node/platform_watcher.cc
+++ b/src/node/platform_watcher.cc
@@ -15,12 +15,17 @@
 constexpr std::chrono::seconds kWatchTime{25};
 constexpr std::chrono::milliseconds kShortestPause{250};
 constexpr std::chrono::milliseconds kLongestPause{750};
+constexpr std::chrono::milliseconds kShortestSlowRead{20'000};
+constexpr std::chrono::milliseconds kLongestSlowRead{40'000};
+/// How often a node that reads slowly asks whether it is to watch.
+constexpr std::chrono::milliseconds kRuleInterval{500};
 
-/// A random pause, so that the nodes do not come back to the platform at once.
-Duration RandomPause() {
+/// A random time, so that the nodes do not come to the platform at once.
+Duration RandomBetween(std::chrono::milliseconds shortest,
+                       std::chrono::milliseconds longest) {
   static thread_local std::minstd_rand random(std::random_device{}());
-  std::uniform_int_distribution<std::int64_t> draw(kShortestPause.count(),
-                                                   kLongestPause.count());
+  std::uniform_int_distribution<std::int64_t> draw(shortest.count(),
+                                                   longest.count());
   return std::chrono::milliseconds(draw(random));
 }
 
@@ -29,11 +34,13 @@
 PlatformWatcher::PlatformWatcher(asio::io_context& context,
                                  const Address& platform,
                                  std::string value_name,
-                                 Receiver receiver)
+                                 Receiver receiver,
+                                 WatchRule should_watch)
     : context(context),
       client(context, platform),
       value_name(std::move(value_name)),
-      receiver(std::move(receiver)) {}
+      receiver(std::move(receiver)),
+      should_watch(std::move(should_watch)) {}
 
 void PlatformWatcher::Start() {
   asio::co_spawn(this->context, this->Watch(), asio::detached);
@@ -41,8 +48,8 @@
 
 Awaitable<> PlatformWatcher::Watch() {
   while (true) {
-    const Duration wait =
-        this->revision == 0 ? Duration::zero() : Duration(kWatchTime);
+    const bool watches = this->revision != 0 && this->should_watch();
+    const Duration wait = watches ? Duration(kWatchTime) : Duration::zero();
     std::optional<PlatformValue> value =
         co_await this->client.Read(this->value_name, this->revision, wait);
     this->SetReachable(value || this->client.LastReason().empty());
@@ -50,14 +57,27 @@
       this->revision = value->revision;
       this->receiver(value->text);
     }
-    if (!this->reachable) {
-      Timer pause(this->context, RandomPause());
+    const bool is_missing = this->revision == 0 || !this->reachable;
+    if (is_missing) {
+      Timer pause(this->context, RandomBetween(kShortestPause, kLongestPause));
       ErrorCode ignored;
       co_await pause.async_wait(Await(ignored));
+    } else if (!this->should_watch()) {
+      co_await this->WaitForSlowRead();
     }
   }
 }
 
+Awaitable<> PlatformWatcher::WaitForSlowRead() {
+  const TimePoint next =
+      BootTime::now() + RandomBetween(kShortestSlowRead, kLongestSlowRead);
+  while (BootTime::now() < next && !this->should_watch()) {
+    Timer pause(this->context, kRuleInterval);
+    ErrorCode ignored;
+    co_await pause.async_wait(Await(ignored));
+  }
+}
+
 void PlatformWatcher::SetReachable(bool is_reachable) {
   if (this->reachable == is_reachable) {
     return;
--- a/src/node/platform_watcher.h
+++ b/src/node/platform_watcher.h
@@ -9,17 +9,23 @@
 
 namespace daisywinch {
 
-/// Watches one value of the platform and hands on each new revision.
+/// Follows one value of the platform and hands on each new revision.
+///
+/// A few nodes of each data centre hold a watch; the others read the value
+/// now and then, in case all the watching nodes are wrong.
 class PlatformWatcher {
  public:
   using Receiver = std::function<void(const std::string& text)>;
+  /// Whether this node is to hold a watch now.
+  using WatchRule = std::function<bool()>;
 
   PlatformWatcher(asio::io_context& context,
                   const Address& platform,
                   std::string value_name,
-                  Receiver receiver);
+                  Receiver receiver,
+                  WatchRule should_watch);
 
-  /// Watches until the context stops.
+  /// Follows the value until the context stops.
   void Start();
 
   bool IsReachable() const { return this->reachable; }
@@ -27,12 +33,15 @@
 
  private:
   Awaitable<> Watch();
+  /// Waits for the time of the next slow read, or until a watch is due.
+  Awaitable<> WaitForSlowRead();
   void SetReachable(bool is_reachable);
 
   asio::io_context& context;
   PlatformClient client;
   std::string value_name;
   Receiver receiver;
+  WatchRule should_watch;
   std::uint64_t revision = 0;
   bool reachable = true;
 };
--- a/src/node/rate_limiter.cc
+++ b/src/node/rate_limiter.cc
@@ -3,33 +3,85 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 namespace daisywinch {
 
-RateLimiter::RateLimiter(std::string data_centre, const Clock& clock)
-    : data_centre(std::move(data_centre)), clock(clock) {}
+namespace {
+
+constexpr std::chrono::milliseconds kExchangeInterval{100};
+/// Longest time that a call waits for tokens.
+constexpr std::chrono::milliseconds kTokenTimeout{60};
+/// Time after which a waiting call looks again.
+constexpr std::chrono::milliseconds kWaitInterval{20};
+/// Time between two exchanges that waiting calls ask for.
+constexpr std::chrono::milliseconds kLeastExchangeInterval{5};
+
+}  // namespace
+
+RateLimiter::RateLimiter(asio::io_context& context,
+                         const Clock& clock,
+                         std::string data_centre,
+                         std::uint64_t seed,
+                         const SnapshotHolder& snapshots,
+                         RequestSender send_request)
+    : context(context),
+      clock(clock),
+      snapshots(snapshots),
+      stocks(std::move(data_centre), seed),
+      send_request(std::move(send_request)) {}
 
-bool RateLimiter::Take(const Snapshot& snapshot, std::string_view customer) {
-  const Configuration& configuration = snapshot.CurrentConfiguration();
-  const Customer* terms = configuration.FindCustomer(customer);
-  const DataCentre* own = configuration.FindDataCentre(this->data_centre);
-  if (terms == nullptr || own == nullptr) {
-    return false;
+void RateLimiter::Start() {
+  asio::co_spawn(this->context, this->RunExchanges(), asio::detached);
+}
+
+Awaitable<> RateLimiter::RunExchanges() {
+  while (true) {
+    this->Exchange();
+    Timer timer(this->context, kExchangeInterval);
+    ErrorCode ignored;
+    co_await timer.async_wait(Await(ignored));
   }
-  const std::vector<Vm>& vms = snapshot.CurrentVmList().vms;
-  const std::ptrdiff_t node_count = std::count_if(
-      vms.begin(), vms.end(),
-      [this](const Vm& vm) { return vm.data_centre == this->data_centre; });
-  const double part =
-      own->share / static_cast<double>(std::max<std::ptrdiff_t>(1, node_count));
-  const TimePoint now = this->clock.Now();
-  const double rate = terms->rate * part;
-  const double burst = terms->burst * part;
-  const auto [bucket, is_new] =
-      this->buckets.try_emplace(std::string(customer), rate, burst, burst, now);
-  if (!is_new) {
-    bucket->second.Configure(rate, burst, now);
+}
+
+void RateLimiter::Exchange() {
+  this->exchanged_at = this->clock.Now();
+  const std::shared_ptr<const Snapshot> snapshot = this->snapshots.Load();
+  if (!snapshot) {
+    return;
+  }
+  for (const AddressedTokenRequest& request :
+       this->stocks.MakeRequests(*snapshot, this->clock.Now())) {
+    this->send_request(request);
+  }
+}
+
+Awaitable<bool> RateLimiter::Take(std::string customer) {
+  const TimePoint latest = this->clock.Now() + kTokenTimeout;
+  while (!this->stocks.Take(customer, this->clock.Now())) {
+    const TimePoint now = this->clock.Now();
+    if (this->stocks.IsExhausted(customer) || now >= latest) {
+      co_return false;
+    }
+    if (now - this->exchanged_at >= kLeastExchangeInterval) {
+      this->Exchange();
+    }
+    const std::shared_ptr<Timer> wake_up = std::make_shared<Timer>(
+        this->context, std::min<TimePoint>(latest, now + kWaitInterval));
+    this->waiting.push_back(wake_up);
+    ErrorCode ignored;
+    co_await wake_up->async_wait(Await(ignored));
+  }
+  co_return true;
+}
+
+void RateLimiter::TakeReply(const std::string& vm, const TokenReply& reply) {
+  this->stocks.TakeReply(vm, reply, this->clock.Now());
+  for (const std::shared_ptr<Timer>& wake_up :
+       std::exchange(this->waiting, {})) {
+    wake_up->cancel();
   }
-  return bucket->second.Take(1, now);
 }
 
 }  // namespace daisywinch
--- a/src/node/rate_limiter.h
+++ b/src/node/rate_limiter.h
@@ -1,27 +1,55 @@
 #ifndef DAISYWINCH_NODE_RATE_LIMITER_H
 #define DAISYWINCH_NODE_RATE_LIMITER_H
 
+#include <functional>
+#include <memory>
 #include <string>
-#include <string_view>
-#include <unordered_map>
+#include <vector>
 
+#include "coordination/stock_set.h"
+#include "state/clock.h"
 #include "state/snapshot.h"
-#include "state/token_bucket.h"
+#include "transport/asio.h"
 
 namespace daisywinch {
 
-/// Holds each customer to this node's even part of its rate and burst.
+/// Holds each customer to its rate and burst over all nodes together.
+///
+/// Spends tokens that were drawn ahead by demand. A call waits for tokens only
+/// when a customer asks for more than it lately did and the minters are not
+/// known to be empty. Runs on the entry's thread.
 class RateLimiter {
  public:
-  RateLimiter(std::string data_centre, const Clock& clock);
+  /// Sends a request to a minter; the reply comes by TakeReply().
+  using RequestSender = std::function<void(const AddressedTokenRequest&)>;
+
+  RateLimiter(asio::io_context& context,
+              const Clock& clock,
+              std::string data_centre,
+              std::uint64_t seed,
+              const SnapshotHolder& snapshots,
+              RequestSender send_request);
+
+  /// Draws and reports tokens until the context stops.
+  void Start();
 
   /// Takes one token of a customer; false when it is over its rate.
-  bool Take(const Snapshot& snapshot, std::string_view customer);
+  Awaitable<bool> Take(std::string customer);
+
+  void TakeReply(const std::string& vm, const TokenReply& reply);
 
  private:
-  std::string data_centre;
+  Awaitable<> RunExchanges();
+  void Exchange();
+
+  asio::io_context& context;
   const Clock& clock;
-  std::unordered_map<std::string, TokenBucket> buckets;
+  const SnapshotHolder& snapshots;
+  StockSet stocks;
+  RequestSender send_request;
+  TimePoint exchanged_at;
+  /// Calls that wait for tokens.
+  std::vector<std::shared_ptr<Timer>> waiting;
 };
 
 }  // namespace daisywinch
--- a/src/state/token_stock.cc
+++ b/src/state/token_stock.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace daisywinch {
 
@@ -43,6 +44,7 @@
   this->last_asked_at = now;
   this->RemoveEnded(now);
   if (this->Available(now) < 1 - kRounding) {
+    this->unmet += 1;
     return false;
   }
   double missing = 1;
@@ -68,7 +70,8 @@
     return 0;
   }
   const double target =
-      std::max(kLeastStock, std::ceil(this->demand * kHorizon.count()));
+      std::max(kLeastStock, std::ceil(this->demand * kHorizon.count())) +
+      std::exchange(this->unmet, 0);
   return std::max(0.0, target - this->AvailableUntil(now, kRenewalPart));
 }
 
--- a/src/state/token_stock.h
+++ b/src/state/token_stock.h
@@ -36,7 +36,8 @@
   /// Spends one token if there is one whose lease has not ended.
   bool Take(TimePoint now);
 
-  /// Tokens to ask for, by recent demand; 0 when there are enough.
+  /// Tokens to ask for, by recent demand and by what could not be met since
+  /// the last call; 0 when there are enough.
   double Wanted(TimePoint now);
   double Available(TimePoint now);
   /// Whether tokens were asked of this stock lately.
@@ -66,6 +67,8 @@
   std::list<Held> grants;
   /// Tokens asked for since `demand_updated_at`.
   double asked = 0;
+  /// Tokens that were not there since the last call of Wanted().
+  double unmet = 0;
   /// Tokens asked for per second, smoothed.
   double demand = 0;
   TimePoint demand_updated_at;
--- /dev/null
+++ b/src/transport/control_socket.h
@@ -0,0 +1,57 @@
+#ifndef DAISYWINCH_TRANSPORT_CONTROL_SOCKET_H
+#define DAISYWINCH_TRANSPORT_CONTROL_SOCKET_H
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+#include <nng/nng.h>
+
+#include "transport/asio.h"
+
+namespace daisywinch {
+
+/// Sends and receives datagrams between nodes over nng's push and pull
+/// sockets.
+///
+/// One way and without answers or repeats: a message that cannot be sent now
+/// is dropped. Received messages are handed over on the context's thread.
+class ControlSocket {
+ public:
+  using Receiver = std::function<void(std::string message)>;
+
+  ControlSocket(asio::io_context& context, Receiver receiver);
+  ~ControlSocket();
+  ControlSocket(const ControlSocket&) = delete;
+  ControlSocket& operator=(const ControlSocket&) = delete;
+
+  /// Listens; false if the address cannot be used, see LastReason().
+  bool Listen(const Address& address);
+  const std::string& LastReason() const { return this->last_reason; }
+
+  void Send(const Address& address, const std::string& message);
+  /// Closes the connections to all other addresses.
+  void KeepOnly(const std::set<std::string>& addresses);
+
+  std::uint64_t SentBytes() const { return this->sent_bytes; }
+  std::uint64_t SentMessages() const { return this->sent_messages; }
+
+ private:
+  static void OnReceive(void* self);
+  nng_socket* FindOrDial(const Address& address);
+
+  asio::io_context& context;
+  Receiver receiver;
+  nng_socket pull = NNG_SOCKET_INITIALIZER;
+  nng_aio* receive = nullptr;
+  std::map<std::string, nng_socket> pushes;
+  std::uint64_t sent_bytes = 0;
+  std::uint64_t sent_messages = 0;
+  std::string last_reason;
+};
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_TRANSPORT_CONTROL_SOCKET_H
--- a/tests/support/test_fleet.cc
+++ b/tests/support/test_fleet.cc
@@ -26,6 +26,8 @@
 constexpr int kPlatformHost = 250;
 constexpr std::chrono::milliseconds kPollInterval{10};
 constexpr std::chrono::seconds kStartTimeout{20};
+/// Time in which minters make the first tokens.
+constexpr std::chrono::milliseconds kFirstTokensTime{200};
 
 int next_fleet_number = 0;
 
@@ -188,16 +190,18 @@
     this->StartNode(*vm);
   }
   for (const std::unique_ptr<TestVm>& vm : this->vms) {
-    const bool ready = WaitUntil(
-        [&] {
-          const boost::json::value status = this->Status(*vm);
-          return status.is_object() && status.at("ready").as_bool();
-        },
-        kStartTimeout);
-    if (!ready) {
+    if (!WaitUntil([&] { return this->IsServing(*vm); }, kStartTimeout)) {
       throw std::runtime_error(vm->name + " does not become ready");
     }
   }
+  std::this_thread::sleep_for(kFirstTokensTime);
+}
+
+bool TestFleet::IsServing(const TestVm& vm) {
+  const boost::json::value status = this->Status(vm);
+  return status.is_object() && status.at("ready").as_bool() &&
+         status.at("fleet").at("mint_parts_settled").as_bool() &&
+         status.at("fleet").at("may_mint").as_bool();
 }
 
 void TestFleet::StartTarget(TestVm& vm) {
--- a/tests/support/test_fleet.h
+++ b/tests/support/test_fleet.h
@@ -44,6 +44,9 @@
   /// Publishes and starts everything; returns once every node is ready.
   void Start(const Configuration& configuration);
 
+  /// Whether a node is ready and mints its part of every customer's tokens.
+  bool IsServing(const TestVm& vm);
+
   void StartNode(TestVm& vm);
   void StartTarget(TestVm& vm);
   void Publish(const Configuration& configuration);
--- a/tests/support/token_world.cc
+++ b/tests/support/token_world.cc
@@ -281,7 +281,7 @@
       const Heartbeat echo = receiver.peers.MakeEcho(heartbeat);
       this->Send(receiver.name, from, [this, echo](NodeProcess& sender) {
         this->HearVersion(sender, echo.state.vm_list_version);
-        sender.peers.TakeEcho(echo, this->Now());
+        sender.peers.TakeEcho(echo);
       });
     });
   }
