Measure goodput under overload and steady the admission level

The status of a gate showed 3 to 10 of 10 slots in use and a level swinging between 0.68 and 1.75: the level of one customer alone read "all" above a class's edge and "none" below it, every shed request cut up to half, and the cut ran on into classes that were not shed.

Ruled out: the learned limit (10 of 10 throughout) and cold starts (one each).

Change: the level follows what the gate could start, with a tenth more; it does not lower a class before that class is shed; only a customer clearly under its share is exempt from it.

--- /dev/null
+++ b/bench/experiments.h
@@ -0,0 +1,39 @@
+#ifndef DAISYWINCH_BENCH_EXPERIMENTS_H
+#define DAISYWINCH_BENCH_EXPERIMENTS_H
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace daisywinch::bench {
+
+/// One measured figure with the target that it is held to.
+struct Figure {
+  std::string name;
+  double value = 0;
+  double target = 0;
+  /// The figure must be at least the target, otherwise at most.
+  bool is_lower_bound = true;
+  /// Stands beside the others for comparison and has no target.
+  bool is_baseline = false;
+
+  bool IsMet() const {
+    return this->is_baseline      ? true
+           : this->is_lower_bound ? this->value >= this->target
+                                  : this->value <= this->target;
+  }
+};
+
+/// An experiment with real processes.
+struct Experiment {
+  std::string_view name;
+  std::string_view question;
+  std::vector<Figure> (*run)() = nullptr;
+};
+
+const std::vector<Experiment>& AllExperiments();
+
+}  // namespace daisywinch::bench
+
+#endif  // DAISYWINCH_BENCH_EXPERIMENTS_H
--- a/src/node/gate.cc
+++ b/src/node/gate.cc
@@ -252,7 +252,6 @@
                        now, latest_start},
                       now);
   for (const std::uint64_t shed_id : shed) {
-    this->level.TakeShed(now);
     this->EndWait(shed_id, RefusalReason::kShedByGate);
   }
   call.cancellation->SetAction([waiter] { waiter->wake_up.cancel(); });
@@ -267,6 +266,9 @@
     this->queue.Remove(id);
     co_return RefusalReason::kDeadlineTooShort;
   }
+  if (*waiter->result == RefusalReason::kShedByGate) {
+    this->level.TakeShed(call.context.request_class, this->clock.Now());
+  }
   co_return *waiter->result;
 }
 
@@ -283,7 +285,6 @@
     this->EndWait(*id, RefusalReason::kNone);
   }
   for (const std::uint64_t id : expired) {
-    this->level.TakeShed(now);
     this->EndWait(id, RefusalReason::kShedByGate);
   }
 }
@@ -383,10 +384,10 @@
   load->set_queued(this->queue.Size());
   load->set_limit(this->limit.Limit());
   double level = this->level.Level();
-  // A customer within its fair share is not refused early while its class is
+  // A customer under its fair share is not refused early while its class is
   // wanted at all.
   const bool is_wanted = WantedPart(level, call.context.request_class) > 0;
-  if (is_wanted && !this->shares.IsOverShare(call.context.customer, now)) {
+  if (is_wanted && this->shares.IsUnderShare(call.context.customer, now)) {
     level = AdmissionLevel::kHighest;
   }
   load->set_level(level);
--- a/src/state/admission_level.cc
+++ b/src/state/admission_level.cc
@@ -7,14 +7,16 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kInterval{20};
-/// Part of the shed fraction by which the marginal class is cut.
-constexpr double kCut = 0.5;
+constexpr std::chrono::milliseconds kInterval{50};
+/// Work asked for over what could be started.
+constexpr double kOverSupply = 1.1;
+/// Least factor by which one interval lowers the marginal class.
+constexpr double kDeepestCut = 0.7;
 constexpr double kRise = 0.05;
-/// Keeps a trickle of work coming, so that a low level heals.
-constexpr double kLowest = 0.05;
-/// Distance to the next class below which that class is cut instead.
-constexpr double kClassEdge = 0.05;
+/// Least wanted part of a class: keeps a trickle coming, so that a low level
+/// heals.
+constexpr double kLeastPart = 0.05;
+constexpr double kRounding = 1e-9;
 
 }  // namespace
 
@@ -27,9 +29,11 @@
   ++this->offered;
 }
 
-void AdmissionLevel::TakeShed(TimePoint now) {
+void AdmissionLevel::TakeShed(RequestClass request_class, TimePoint now) {
   this->CloseInterval(now);
   ++this->shed;
+  this->most_important_shed =
+      std::min(this->most_important_shed, request_class);
 }
 
 void AdmissionLevel::TakeIdle(TimePoint now) {
@@ -42,21 +46,30 @@
     return;
   }
   if (this->shed > 0) {
-    const double shed_part =
-        std::min(1.0, static_cast<double>(this->shed) /
-                          std::max(1, std::max(this->offered, this->shed)));
-    const double whole_classes =
-        std::max(0.0, std::ceil(this->level - kClassEdge) - 1);
-    const double marginal = this->level - whole_classes;
-    this->level = whole_classes + marginal * (1 - kCut * shed_part);
+    this->Lower();
   } else if (this->was_idle) {
-    this->level += kRise;
+    this->level = std::min(kHighest, this->level + kRise);
   }
-  this->level = std::clamp(this->level, kLowest, kHighest);
   this->offered = 0;
   this->shed = 0;
+  this->most_important_shed = RequestClass::kBackground;
   this->was_idle = false;
   this->interval_started = now;
 }
 
+void AdmissionLevel::Lower() {
+  const double offered_count = std::max(1, std::max(this->offered, this->shed));
+  const double started_part = 1 - this->shed / offered_count;
+  const double factor =
+      std::clamp(kOverSupply * started_part, kDeepestCut, 1.0);
+  double whole_classes = std::ceil(this->level) - 1;
+  double part = this->level - whole_classes;
+  const double shed_class = static_cast<double>(this->most_important_shed);
+  if (part <= kLeastPart + kRounding && whole_classes > shed_class) {
+    whole_classes -= 1;
+    part = 1;
+  }
+  this->level = whole_classes + std::max(kLeastPart, part * factor);
+}
+
 }  // namespace daisywinch
--- a/src/state/admission_level.h
+++ b/src/state/admission_level.h
@@ -11,14 +11,16 @@
 /// A level between 0 and the number of classes: a class is wanted with the
 /// probability clamp(level - class, 0, 1), so one number says which classes
 /// are wanted whole, which one in part and which not at all. Gates send it
-/// with each answer and entries refuse by it ("Overload Control for Scaling
+/// with each answer and entries refuse by it. Each interval lowers it to
+/// what the gate could start, and a little more to keep the queue supplied; a
+/// class is not lowered before it is shed itself ("Overload Control for Scaling
 /// WeChat Microservices", Zhou et al. 2018).
 class AdmissionLevel {
  public:
   static constexpr double kHighest = kRequestClassCount;
 
   void TakeOffered(TimePoint now);
-  void TakeShed(TimePoint now);
+  void TakeShed(RequestClass request_class, TimePoint now);
   /// The gate had a free slot and nothing queued.
   void TakeIdle(TimePoint now);
 
@@ -26,10 +28,12 @@
 
  private:
   void CloseInterval(TimePoint now);
+  void Lower();
 
   double level = kHighest;
   int offered = 0;
   int shed = 0;
+  RequestClass most_important_shed = RequestClass::kBackground;
   bool was_idle = false;
   TimePoint interval_started;
 };
--- a/src/state/fair_share.cc
+++ b/src/state/fair_share.cc
@@ -11,6 +11,7 @@
 constexpr double kLeastWeight = 1e-6;
 /// Usage below this counts as none when shares are compared.
 constexpr double kNegligibleUsage = 0.5;
+constexpr double kUnderSharePart = 0.8;
 
 }  // namespace
 
@@ -39,7 +40,7 @@
              : found->second.Usage(now) / found->second.weight;
 }
 
-bool FairShare::IsOverShare(std::string_view customer, TimePoint now) const {
+bool FairShare::IsUnderShare(std::string_view customer, TimePoint now) const {
   double usage = 0;
   double weight = 0;
   for (const auto& [name, account] : this->accounts) {
@@ -49,7 +50,8 @@
       weight += account.weight;
     }
   }
-  return weight > 0 && this->NormalizedUsage(customer, now) > usage / weight;
+  return weight > 0 && this->NormalizedUsage(customer, now) <
+                           kUnderSharePart * usage / weight;
 }
 
 }  // namespace daisywinch
--- a/src/state/fair_share.h
+++ b/src/state/fair_share.h
@@ -22,9 +22,9 @@
   /// Recent usage for each unit of weight.
   double NormalizedUsage(std::string_view customer, TimePoint now) const;
 
-  /// Whether a customer has used more for its weight than all customers
-  /// together have for theirs.
-  bool IsOverShare(std::string_view customer, TimePoint now) const;
+  /// Whether a customer has used clearly less for its weight than all
+  /// customers together have for theirs.
+  bool IsUnderShare(std::string_view customer, TimePoint now) const;
 
  private:
   struct Account {
