Serve important work through a flood and count own calls exactly

Two causes, found and measured one after the other.

One important request shed in a burst lowered the level into the important class, and it only rose when the gate was idle, which it never is in a flood. The level now counts classes apart, and rises while only lesser classes are shed; the queue holds two requests a slot, at least 32.

Own calls are now counted exactly and only the others' part is taken from the report.

Ruled out for (2): the tokens' waits (no call waited in steady state).

--- a/bench/load_generator.cc
+++ b/bench/load_generator.cc
@@ -13,6 +13,8 @@
 constexpr std::uint64_t kBodyLimit = 16 * 1024 * 1024;
 constexpr std::chrono::milliseconds kTenth{100};
 constexpr std::chrono::milliseconds kLongestWait{20};
+constexpr int kGood = -1;
+constexpr int kOverRate = 106;
 
 int ReasonOf(const TargetExchange& exchange) {
   if (exchange.end != TargetExchange::End::kAnswered) {
@@ -55,6 +57,8 @@
 std::size_t LoadGenerator::Add(const Stream& stream) {
   this->streams.push_back(stream);
   this->results.emplace_back();
+  this->granted.emplace_back(stream.granted_rate, stream.granted_burst,
+                             stream.granted_burst, BootTime::now());
   this->next_at.push_back(BootTime::now());
   this->SetRate(this->streams.size() - 1, stream.calls_per_second);
   return this->streams.size() - 1;
@@ -116,7 +120,9 @@
     request.set(kAttemptHeader, "1");
   }
   ++this->results[index].fresh;
+  const bool inside = this->granted[index].Take(1, BootTime::now());
   bool good = false;
+  int reason = 0;
   for (int attempt = 0; attempt < stream.attempts && !good; ++attempt) {
     if (attempt > 0) {
       request.erase(kAttemptHeader);
@@ -126,17 +132,21 @@
     }
     std::uniform_int_distribution<std::size_t> draw(0,
                                                     stream.entries.size() - 1);
-    good = co_await this->Attempt(index, request,
-                                  stream.entries[draw(this->random)]);
+    reason = co_await this->Attempt(index, request,
+                                    stream.entries[draw(this->random)]);
+    good = reason == kGood;
   }
   this->results[index].good += good ? 1 : 0;
   this->results[index].gave_up += good ? 0 : 1;
+  this->results[index].inside += inside ? 1 : 0;
+  this->results[index].good_inside += inside && good ? 1 : 0;
+  this->results[index].refused_inside += inside && reason == kOverRate ? 1 : 0;
   --this->open_requests;
 }
 
-Awaitable<bool> LoadGenerator::Attempt(std::size_t index,
-                                       const HttpRequest& request,
-                                       Address entry) {
+Awaitable<int> LoadGenerator::Attempt(std::size_t index,
+                                      const HttpRequest& request,
+                                      Address entry) {
   const TimePoint sent_at = BootTime::now();
   HttpRequest copy = request;
   copy.prepare_payload();
@@ -148,8 +158,9 @@
   const bool good = exchange.end == TargetExchange::End::kAnswered &&
                     exchange.response.result() == http::status::ok;
   if (!good) {
-    ++result.refusals[ReasonOf(exchange)];
-    co_return false;
+    const int reason = ReasonOf(exchange);
+    ++result.refusals[reason];
+    co_return reason;
   }
   const TimePoint now = BootTime::now();
   result.latencies.push_back(
@@ -159,7 +170,7 @@
     result.good_by_tenth.resize(tenth + 1);
   }
   ++result.good_by_tenth[tenth];
-  co_return true;
+  co_return kGood;
 }
 
 TargetClient& LoadGenerator::ClientFor(const Address& entry) {
--- a/bench/load_generator.h
+++ b/bench/load_generator.h
@@ -10,6 +10,7 @@
 
 #include "state/clock.h"
 #include "state/settings.h"
+#include "state/token_bucket.h"
 #include "transport/asio.h"
 #include "transport/http.h"
 #include "transport/target_client.h"
@@ -24,6 +25,10 @@
   std::string method = "GET";
   std::string path;
   double calls_per_second = 0;
+  /// Rate and burst that the customer is granted, to tell which requests were
+  /// inside them.
+  double granted_rate = 1e9;
+  double granted_burst = 1e9;
   /// Requests that may not be repeated carry an idempotency key.
   bool has_idempotency_key = false;
   /// Attempts that a caller makes before it gives up.
@@ -40,6 +45,12 @@
   /// Requests answered whole with status 200 at some attempt.
   std::uint64_t good = 0;
   std::uint64_t gave_up = 0;
+  /// Fresh requests that one bucket of the granted rate and burst admits, and
+  /// those of them that were answered.
+  std::uint64_t inside = 0;
+  std::uint64_t good_inside = 0;
+  /// Those of them that were refused as over the rate at every attempt.
+  std::uint64_t refused_inside = 0;
   /// Attempts by refusal reason; 0 stands for no answer at all.
   std::map<int, std::uint64_t> refusals;
   /// Latency of good attempts in seconds.
@@ -75,9 +86,10 @@
 
  private:
   Awaitable<> Send(std::size_t stream);
-  Awaitable<bool> Attempt(std::size_t stream,
-                          const HttpRequest& request,
-                          Address entry);
+  /// Returns kGood, or the reason of the refusal.
+  Awaitable<int> Attempt(std::size_t stream,
+                         const HttpRequest& request,
+                         Address entry);
   TargetClient& ClientFor(const Address& entry);
   Duration TimeToNext(std::size_t stream);
 
@@ -85,6 +97,7 @@
   std::mt19937_64 random;
   std::vector<Stream> streams;
   std::vector<StreamResult> results;
+  std::vector<TokenBucket> granted;
   std::vector<TimePoint> next_at;
   std::map<std::string, std::unique_ptr<TargetClient>> clients;
   TimePoint started_at;
--- a/src/coordination/stock_set.cc
+++ b/src/coordination/stock_set.cc
@@ -12,6 +12,14 @@
 
 /// Part of what was asked for below which other data centres are asked too.
 constexpr double kShortPart = 0.9;
+/// Part of one token, or of what was asked for, below which the minters count
+/// as empty.
+constexpr double kExhaustedPart = 0.5;
+/// Stock of a customer in use, so that a single call need not wait for tokens.
+constexpr double kLeastStock = 2;
+/// Part of a customer's burst that may lie idle in all stocks together: the
+/// rest of a small burst is worth more where the next call comes.
+constexpr double kIdleBurstPart = 0.125;
 
 }  // namespace
 
@@ -77,10 +85,15 @@
       continue;
     }
     stock.minters.clear();
+    stock.tokens.SetLeastStock(0);
     const Customer* customer = configuration.FindCustomer(name);
     if (customer == nullptr) {
       continue;
     }
+    const double nodes =
+        std::max<double>(1, snapshot.CurrentVmList().vms.size());
+    stock.tokens.SetLeastStock(
+        std::min(kLeastStock, kIdleBurstPart * customer->burst / nodes));
     for (const DataCentre& site : configuration.data_centres) {
       stock.minters[site.name] = MintersOf(snapshot, *customer, site.name);
     }
@@ -95,7 +108,8 @@
                         std::map<std::string, TokenRequest>& requests) {
   const double wanted = stock.tokens.Wanted(now);
   const bool was_short = stock.got < kShortPart * stock.asked_for;
-  stock.exhausted = stock.asked_everywhere && stock.got < 1;
+  stock.exhausted = stock.asked_everywhere &&
+                    stock.got < kExhaustedPart * std::min(1.0, stock.asked_for);
   stock.asked_everywhere = was_short;
   stock.asked_for = wanted;
   stock.got = 0;
--- a/src/node/gate.cc
+++ b/src/node/gate.cc
@@ -17,7 +17,8 @@
 constexpr char kInstanceHeader[] = "Server-Instance";
 constexpr std::size_t kRecordLimit = 50'000;
 constexpr std::size_t kRecordByteLimit = 16 * 1024 * 1024;
-constexpr std::size_t kLeastQueueCapacity = 16;
+constexpr std::size_t kLeastQueueCapacity = 32;
+constexpr std::size_t kQueuePerSlot = 2;
 constexpr double kOpenRouteWeight = 1;
 
 HttpRequest MakeTargetRequest(const protocol::CallRequest& call,
@@ -232,7 +233,7 @@
 
 Awaitable<RefusalReason> Gate::WaitForSlot(const GateCall& call) {
   const TimePoint now = this->clock.Now();
-  this->level.TakeOffered(now);
+  this->level.TakeOffered(call.context.request_class, now);
   if (now >= call.context.deadline) {
     co_return RefusalReason::kDeadlineTooShort;
   }
--- a/src/state/admission_level.cc
+++ b/src/state/admission_level.cc
@@ -24,16 +24,14 @@
   return std::clamp(level - static_cast<double>(request_class), 0.0, 1.0);
 }
 
-void AdmissionLevel::TakeOffered(TimePoint now) {
+void AdmissionLevel::TakeOffered(RequestClass request_class, TimePoint now) {
   this->CloseInterval(now);
-  ++this->offered;
+  ++this->counts[static_cast<std::size_t>(request_class)].offered;
 }
 
 void AdmissionLevel::TakeShed(RequestClass request_class, TimePoint now) {
   this->CloseInterval(now);
-  ++this->shed;
-  this->most_important_shed =
-      std::min(this->most_important_shed, request_class);
+  ++this->counts[static_cast<std::size_t>(request_class)].shed;
 }
 
 void AdmissionLevel::TakeIdle(TimePoint now) {
@@ -45,31 +43,51 @@
   if (now - this->interval_started < kInterval) {
     return;
   }
-  if (this->shed > 0) {
+  if (this->WasTooHigh()) {
     this->Lower();
-  } else if (this->was_idle) {
+  } else if (this->was_idle || this->WasAnyShed()) {
     this->level = std::min(kHighest, this->level + kRise);
   }
-  this->offered = 0;
-  this->shed = 0;
-  this->most_important_shed = RequestClass::kBackground;
+  this->counts = {};
   this->was_idle = false;
   this->interval_started = now;
 }
 
+std::size_t AdmissionLevel::MarginalClass() const {
+  return static_cast<std::size_t>(std::ceil(this->level - kRounding)) - 1;
+}
+
+bool AdmissionLevel::WasTooHigh() const {
+  const auto end = this->counts.begin() + this->MarginalClass() + 1;
+  return std::any_of(this->counts.begin(), end,
+                     [](const ClassCount& count) { return count.shed > 0; });
+}
+
+bool AdmissionLevel::WasAnyShed() const {
+  return std::any_of(this->counts.begin(), this->counts.end(),
+                     [](const ClassCount& count) { return count.shed > 0; });
+}
+
 void AdmissionLevel::Lower() {
-  const double offered_count = std::max(1, std::max(this->offered, this->shed));
-  const double started_part = 1 - this->shed / offered_count;
-  const double factor =
-      std::clamp(kOverSupply * started_part, kDeepestCut, 1.0);
-  double whole_classes = std::ceil(this->level) - 1;
-  double part = this->level - whole_classes;
-  const double shed_class = static_cast<double>(this->most_important_shed);
-  if (part <= kLeastPart + kRounding && whole_classes > shed_class) {
-    whole_classes -= 1;
+  std::size_t marginal = this->MarginalClass();
+  double part = this->level - static_cast<double>(marginal);
+  const auto end = this->counts.begin() + marginal;
+  const bool is_more_important_shed =
+      std::any_of(this->counts.begin(), end,
+                  [](const ClassCount& count) { return count.shed > 0; });
+  if (part <= kLeastPart + kRounding && is_more_important_shed) {
+    marginal -= 1;
     part = 1;
   }
-  this->level = whole_classes + std::max(kLeastPart, part * factor);
+  const ClassCount& count = this->counts[marginal];
+  const double offered = std::max({1, count.offered, count.shed});
+  const double started_part = 1 - count.shed / offered;
+  const double factor =
+      is_more_important_shed
+          ? kDeepestCut
+          : std::clamp(kOverSupply * started_part, kDeepestCut, 1.0);
+  this->level =
+      static_cast<double>(marginal) + std::max(kLeastPart, part * factor);
 }
 
 }  // namespace daisywinch
--- a/src/state/admission_level.h
+++ b/src/state/admission_level.h
@@ -1,6 +1,9 @@
 #ifndef DAISYWINCH_STATE_ADMISSION_LEVEL_H
 #define DAISYWINCH_STATE_ADMISSION_LEVEL_H
 
+#include <array>
+#include <cstddef>
+
 #include "state/clock.h"
 #include "state/configuration.h"
 
@@ -11,15 +14,16 @@
 /// A level between 0 and the number of classes: a class is wanted with the
 /// probability clamp(level - class, 0, 1), so one number says which classes
 /// are wanted whole, which one in part and which not at all. Gates send it
-/// with each answer and entries refuse by it. Each interval lowers it to
-/// what the gate could start, and a little more to keep the queue supplied; a
-/// class is not lowered before it is shed itself ("Overload Control for Scaling
-/// WeChat Microservices", Zhou et al. 2018).
+/// with each answer and entries refuse by it. An interval in which the marginal
+/// class was shed lowers it to what the gate could start of that class, and a
+/// little more to keep the queue supplied; an interval in which only lesser
+/// classes were shed, or nothing and the gate was idle, raises it ("Overload
+/// Control for Scaling WeChat Microservices", Zhou et al. 2018).
 class AdmissionLevel {
  public:
   static constexpr double kHighest = kRequestClassCount;
 
-  void TakeOffered(TimePoint now);
+  void TakeOffered(RequestClass request_class, TimePoint now);
   void TakeShed(RequestClass request_class, TimePoint now);
   /// The gate had a free slot and nothing queued.
   void TakeIdle(TimePoint now);
@@ -28,12 +32,22 @@
 
  private:
   void CloseInterval(TimePoint now);
+  /// The class that is wanted in part, or the least important one.
+  std::size_t MarginalClass() const;
+  /// Whether the marginal class or a more important one was shed.
+  bool WasTooHigh() const;
+  /// Whether anything was shed at all.
+  bool WasAnyShed() const;
   void Lower();
 
+  /// Requests of one class in the current interval.
+  struct ClassCount {
+    int offered = 0;
+    int shed = 0;
+  };
+
   double level = kHighest;
-  int offered = 0;
-  int shed = 0;
-  RequestClass most_important_shed = RequestClass::kBackground;
+  std::array<ClassCount, kRequestClassCount> counts;
   bool was_idle = false;
   TimePoint interval_started;
 };
--- a/src/state/target_chooser.cc
+++ b/src/state/target_chooser.cc
@@ -101,11 +101,7 @@
     return 0;
   }
   const TargetState& state = found->second;
-  // The report already counts most of the entry's own calls: the larger of
-  // the two avoids counting them twice.
-  const int reported = state.report.in_flight + state.report.queued;
-  const int load = std::max(reported, state.own_in_flight);
-  return static_cast<double>(load) / std::max(1, state.report.limit);
+  return static_cast<double>(state.own_in_flight + state.others) / state.limit;
 }
 
 bool TargetChooser::IsAvoided(const std::string& vm, TimePoint now) const {
@@ -155,7 +151,11 @@
                                const GateReport& report,
                                TimePoint now) {
   TargetState& state = this->states[vm];
-  state.report = report;
+  // The own calls are known at every moment; only the others' part of the
+  // report grows old.
+  state.others =
+      std::max(0, report.in_flight + report.queued - state.own_in_flight);
+  state.limit = std::max(1, report.limit);
   state.levels[customer] = {report.level, now};
   state.failures = 0;
   state.avoided_until = TimePoint();
--- a/src/state/target_chooser.h
+++ b/src/state/target_chooser.h
@@ -69,7 +69,9 @@
 
   struct TargetState {
     int own_in_flight = 0;
-    GateReport report;
+    /// Calls of other entries at the last report.
+    int others = 0;
+    int limit = 1;
     /// Admission levels by customer.
     std::unordered_map<std::string, CustomerLevel> levels;
     int failures = 0;
--- a/src/state/token_stock.cc
+++ b/src/state/token_stock.cc
@@ -13,8 +13,6 @@
 constexpr std::chrono::duration<double> kDemandDecay{0.5};
 constexpr std::chrono::milliseconds kDemandInterval{50};
 constexpr std::chrono::seconds kInUseTime{5};
-/// Least stock of a customer in use, so that a single call need not wait.
-constexpr double kLeastStock = 2;
 /// Tokens that are missing for one by rounding still count as one.
 constexpr double kRounding = 1e-9;
 /// Part of the lease after which tokens are drawn to replace a grant.
@@ -70,7 +68,7 @@
     return 0;
   }
   const double target =
-      std::max(kLeastStock, std::ceil(this->demand * kHorizon.count())) +
+      std::max(this->least_stock, this->demand * kHorizon.count()) +
       std::exchange(this->unmet, 0);
   return std::max(0.0, target - this->AvailableUntil(now, kRenewalPart));
 }
@@ -97,7 +95,7 @@
   const Duration return_rest =
       std::chrono::duration_cast<Duration>(this->lease * (1 - kReturnPart));
   const double target =
-      std::max(kLeastStock, this->demand * kHorizon.count()) * kSurplus;
+      std::max(this->least_stock, this->demand * kHorizon.count()) * kSurplus;
   double surplus = this->Available(now) - target;
   std::vector<GrantReport> reports;
   for (auto held = this->grants.begin(); held != this->grants.end();) {
--- a/src/state/token_stock.h
+++ b/src/state/token_stock.h
@@ -28,6 +28,9 @@
   /// `lease` is counted from before each grant was asked for.
   explicit TokenStock(Duration lease);
 
+  /// Tokens kept however small the demand is.
+  void SetLeastStock(double tokens) { this->least_stock = tokens; }
+
   void AddGrant(const std::string& minter,
                 std::uint64_t minter_incarnation,
                 const TokenGrant& grant,
@@ -65,6 +68,7 @@
 
   Duration lease;
   std::list<Held> grants;
+  double least_stock = 0;
   /// Tokens asked for since `demand_updated_at`.
   double asked = 0;
   /// Tokens that were not there since the last call of Wanted().
--- a/tests/state/routing_test.cc
+++ b/tests/state/routing_test.cc
@@ -98,6 +98,28 @@
   }
 }
 
+BOOST_FIXTURE_TEST_CASE(own_calls_count_since_the_last_report, ChooserFixture) {
+  const Snapshot snapshot = this->MakeSnapshot();
+  GateReport idle;
+  idle.limit = 10;
+  this->chooser.TakeReport("e1", "school", idle, this->clock.Now());
+  this->chooser.TakeReport("e2", "school", idle, this->clock.Now());
+  for (int call = 0; call < 5; ++call) {
+    this->chooser.CallStarted("e1");
+  }
+  BOOST_TEST(this->Choices(snapshot).at("e2") == 1000);
+  // Three of the eight in flight are other entries' calls, and stay counted.
+  GateReport busy = idle;
+  busy.in_flight = 8;
+  this->chooser.TakeReport("e1", "school", busy, this->clock.Now());
+  for (int call = 0; call < 5; ++call) {
+    this->chooser.CallEnded("e1");
+  }
+  this->chooser.CallStarted("e2");
+  this->chooser.CallStarted("e2");
+  BOOST_TEST(this->Choices(snapshot).at("e2") == 1000);
+}
+
 BOOST_FIXTURE_TEST_CASE(failed_target_is_tried_again_later, ChooserFixture) {
   const Snapshot snapshot = this->MakeSnapshot();
   this->chooser.TakeFailure("e1", this->clock.Now());
