Keep a small customer's tokens where they can be used

One call looked like a demand of 20/s, so each entry drew and held several tokens; each look of a waiting call counted as another call; parts of a token stayed at entries until their lease was old.

--- a/src/coordination/stock_set.cc
+++ b/src/coordination/stock_set.cc
@@ -26,14 +26,20 @@
 StockSet::StockSet(std::string data_centre, std::uint64_t seed)
     : data_centre(std::move(data_centre)), next_request_id(seed) {}
 
+StockSet::CustomerStock& StockSet::StockOf(const std::string& customer) {
+  return this->stocks.try_emplace(customer, kHolderTokenLease).first->second;
+}
+
+void StockSet::AddDemand(const std::string& customer, TimePoint now) {
+  this->StockOf(customer).tokens.AddDemand(now);
+}
+
 bool StockSet::Take(const std::string& customer, TimePoint now) {
-  return this->stocks.try_emplace(customer, kHolderTokenLease)
-      .first->second.tokens.Take(now);
+  return this->StockOf(customer).tokens.Take(now);
 }
 
-bool StockSet::IsInUse(const std::string& customer, TimePoint now) const {
-  const auto found = this->stocks.find(customer);
-  return found != this->stocks.end() && found->second.tokens.IsInUse(now);
+void StockSet::AddWaiting(const std::string& customer, int change) {
+  this->StockOf(customer).tokens.AddWaiting(change);
 }
 
 bool StockSet::IsExhausted(const std::string& customer) const {
--- a/src/coordination/stock_set.h
+++ b/src/coordination/stock_set.h
@@ -24,11 +24,12 @@
   /// `seed` sets off the request ids of this process from those of others.
   StockSet(std::string data_centre, std::uint64_t seed);
 
+  /// Notes that a call of a customer needs a token.
+  void AddDemand(const std::string& customer, TimePoint now);
   /// Spends one token of a customer.
   bool Take(const std::string& customer, TimePoint now);
-
-  /// Whether tokens of a customer were asked for lately.
-  bool IsInUse(const std::string& customer, TimePoint now) const;
+  /// Changes the number of a customer's calls that wait for a token.
+  void AddWaiting(const std::string& customer, int change);
 
   /// Whether the last round of draws, from all data centres, gave nothing.
   bool IsExhausted(const std::string& customer) const;
@@ -59,6 +60,7 @@
     std::map<std::string, std::vector<std::string>> minters;
   };
 
+  CustomerStock& StockOf(const std::string& customer);
   void UpdateMinters(const Snapshot& snapshot);
   void AddDraws(const std::string& customer,
                 CustomerStock& stock,
--- a/src/node/rate_limiter.cc
+++ b/src/node/rate_limiter.cc
@@ -14,7 +14,7 @@
 /// Longest time that a call waits for tokens.
 constexpr std::chrono::milliseconds kTokenTimeout{60};
 /// Time after which a waiting call looks again.
-constexpr std::chrono::milliseconds kWaitInterval{20};
+constexpr std::chrono::milliseconds kWaitInterval{10};
 /// Time between two exchanges that waiting calls ask for.
 constexpr std::chrono::milliseconds kLeastExchangeInterval{5};
 
@@ -58,12 +58,23 @@
 }
 
 Awaitable<bool> RateLimiter::Take(std::string customer) {
+  this->stocks.AddDemand(customer, this->clock.Now());
+  if (this->stocks.Take(customer, this->clock.Now())) {
+    co_return true;
+  }
+  if (this->stocks.IsExhausted(customer)) {
+    co_return false;
+  }
+  this->stocks.AddWaiting(customer, 1);
+  const bool taken = co_await this->WaitForToken(customer);
+  this->stocks.AddWaiting(customer, -1);
+  co_return taken;
+}
+
+Awaitable<bool> RateLimiter::WaitForToken(std::string customer) {
   const TimePoint latest = this->clock.Now() + kTokenTimeout;
-  while (!this->stocks.Take(customer, this->clock.Now())) {
+  while (this->clock.Now() < latest) {
     const TimePoint now = this->clock.Now();
-    if (this->stocks.IsExhausted(customer) || now >= latest) {
-      co_return false;
-    }
     if (now - this->exchanged_at >= kLeastExchangeInterval) {
       this->Exchange();
     }
@@ -72,8 +83,11 @@
     this->waiting.push_back(wake_up);
     ErrorCode ignored;
     co_await wake_up->async_wait(Await(ignored));
+    if (this->stocks.Take(customer, this->clock.Now())) {
+      co_return true;
+    }
   }
-  co_return true;
+  co_return false;
 }
 
 void RateLimiter::TakeReply(const std::string& vm, const TokenReply& reply) {
--- a/src/node/rate_limiter.h
+++ b/src/node/rate_limiter.h
@@ -39,6 +39,8 @@
   void TakeReply(const std::string& vm, const TokenReply& reply);
 
  private:
+  /// Waits until a token is drawn for a call or its time is over.
+  Awaitable<bool> WaitForToken(std::string customer);
   Awaitable<> RunExchanges();
   void Exchange();
 
--- a/src/state/token_stock.cc
+++ b/src/state/token_stock.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
 
 namespace daisywinch {
 
@@ -36,13 +35,14 @@
   }
 }
 
-bool TokenStock::Take(TimePoint now) {
+void TokenStock::AddDemand(TimePoint now) {
   this->UpdateDemand(now);
   this->asked += 1;
   this->last_asked_at = now;
-  this->RemoveEnded(now);
+}
+
+bool TokenStock::Take(TimePoint now) {
   if (this->Available(now) < 1 - kRounding) {
-    this->unmet += 1;
     return false;
   }
   double missing = 1;
@@ -67,10 +67,12 @@
   if (!this->IsInUse(now)) {
     return 0;
   }
-  const double target =
-      std::max(this->least_stock, this->demand * kHorizon.count()) +
-      std::exchange(this->unmet, 0);
-  return std::max(0.0, target - this->AvailableUntil(now, kRenewalPart));
+  return std::max(0.0, this->Target() + this->waiting -
+                           this->AvailableUntil(now, kRenewalPart));
+}
+
+double TokenStock::Target() const {
+  return std::max(this->least_stock, this->demand * kHorizon.count());
 }
 
 double TokenStock::AvailableUntil(TimePoint now, double lease_part) const {
@@ -94,9 +96,9 @@
   this->UpdateDemand(now);
   const Duration return_rest =
       std::chrono::duration_cast<Duration>(this->lease * (1 - kReturnPart));
-  const double target =
-      std::max(this->least_stock, this->demand * kHorizon.count()) * kSurplus;
-  double surplus = this->Available(now) - target;
+  // Less than a token is of use to nobody here.
+  const double kept = this->Target() < 1 ? 0 : kSurplus * this->Target();
+  double surplus = this->Available(now) - kept;
   std::vector<GrantReport> reports;
   for (auto held = this->grants.begin(); held != this->grants.end();) {
     const double rest = held->amount - held->spent;
@@ -129,7 +131,10 @@
     return;
   }
   const std::chrono::duration<double> time = now - this->demand_updated_at;
-  const double rate = this->asked / time.count();
+  // A few calls say little of the demand to come: their own scatter is left
+  // out, or a small customer's tokens would lie idle at every entry.
+  const double steady = std::max(0.0, this->asked - std::sqrt(this->asked));
+  const double rate = steady / time.count();
   const double kept = std::exp(-time.count() / kDemandDecay.count());
   // Demand rises at once and falls slowly.
   this->demand = std::max(rate, kept * this->demand + (1 - kept) * rate);
--- a/src/state/token_stock.h
+++ b/src/state/token_stock.h
@@ -36,11 +36,15 @@
                 const TokenGrant& grant,
                 TimePoint asked_at);
 
+  /// Notes that a call needs a token; Take() tells whether there is one.
+  void AddDemand(TimePoint now);
   /// Spends one token if there is one whose lease has not ended.
   bool Take(TimePoint now);
+  /// Changes the number of calls that wait for a token.
+  void AddWaiting(int change) { this->waiting += change; }
 
-  /// Tokens to ask for, by recent demand and by what could not be met since
-  /// the last call; 0 when there are enough.
+  /// Tokens to ask for, by recent demand and the calls that wait; 0 when there
+  /// are enough.
   double Wanted(TimePoint now);
   double Available(TimePoint now);
   /// Whether tokens were asked of this stock lately.
@@ -65,14 +69,15 @@
   /// Tokens of grants that have not used up a part of their lease.
   double AvailableUntil(TimePoint now, double lease_part) const;
   void UpdateDemand(TimePoint now);
+  /// Tokens that the recent demand is worth keeping.
+  double Target() const;
 
   Duration lease;
   std::list<Held> grants;
   double least_stock = 0;
   /// Tokens asked for since `demand_updated_at`.
   double asked = 0;
-  /// Tokens that were not there since the last call of Wanted().
-  double unmet = 0;
+  int waiting = 0;
   /// Tokens asked for per second, smoothed.
   double demand = 0;
   TimePoint demand_updated_at;
