--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -7,6 +7,8 @@
 #include <time.h>
 #include <unistd.h>
 
+#include <array>
+#include <atomic>
 #include <cstdlib>
 #include <thread>
 
@@ -16,9 +18,37 @@
 
 constexpr std::chrono::milliseconds kPollInterval{5};
 constexpr mode_t kFileMode = 0644;
+constexpr std::size_t kMostProcesses = 1024;
+constexpr int kSignalExitStatus = 130;
+
+/// Running processes, for the signal handler; 0 marks a free place.
+std::array<std::atomic<pid_t>, kMostProcesses> running_processes = {};
+
+void ReplaceProcess(pid_t from, pid_t to) {
+  for (std::atomic<pid_t>& place : running_processes) {
+    pid_t expected = from;
+    if (place.compare_exchange_strong(expected, to)) {
+      return;
+    }
+  }
+}
+
+void KillAndExit(int /*signal*/) {
+  for (const std::atomic<pid_t>& place : running_processes) {
+    if (place != 0) {
+      ::kill(place, SIGKILL);
+    }
+  }
+  ::_exit(kSignalExitStatus);
+}
 
 }  // namespace
 
+void KillProcessesOnSignal() {
+  ::signal(SIGINT, KillAndExit);
+  ::signal(SIGTERM, KillAndExit);
+}
+
 Process::Process(const std::string& program,
                  const std::vector<std::string>& arguments,
                  const std::string& output_file) {
@@ -38,6 +68,7 @@
   if (error != 0) {
     std::abort();
   }
+  ReplaceProcess(0, this->pid);
 }
 
 Process::~Process() {
@@ -57,6 +88,7 @@
   this->Signal(SIGKILL);
   ::waitpid(this->pid, nullptr, 0);
   this->ended = true;
+  ReplaceProcess(this->pid, 0);
 }
 
 std::optional<int> Process::WaitForExit(Duration timeout) {
@@ -65,6 +97,7 @@
     int status = 0;
     if (::waitpid(this->pid, &status, WNOHANG) == this->pid) {
       this->ended = true;
+      ReplaceProcess(this->pid, 0);
       return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
     }
     std::this_thread::sleep_for(kPollInterval);
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -11,6 +11,9 @@
 
 namespace daisywinch::test {
 
+/// Ends every process that was started here when SIGINT or SIGTERM comes.
+void KillProcessesOnSignal();
+
 /// A process that a test started; killed when it goes out of scope.
 class Process {
  public:
