--- a/src/coordination/mint_plan.cc
+++ b/src/coordination/mint_plan.cc
@@ -37,6 +37,7 @@
   std::sort(weighted.rbegin(), weighted.rend());
   weighted.resize(MinterCount(customer.burst * site->share, weighted.size()));
   std::vector<std::string> names;
+  names.reserve(weighted.size());
   for (const auto& [weight, name] : weighted) {
     names.push_back(name);
   }
--- a/src/coordination/stock_set.cc
+++ b/src/coordination/stock_set.cc
@@ -97,7 +97,7 @@
       continue;
     }
     const double nodes =
-        std::max<double>(1, snapshot.CurrentVmList().vms.size());
+        std::max(1.0, static_cast<double>(snapshot.CurrentVmList().vms.size()));
     stock.tokens.SetLeastStock(
         std::min(kLeastStock, kIdleBurstPart * customer->burst / nodes));
     for (const DataCentre& site : configuration.data_centres) {
--- a/src/node/call_metrics.cc
+++ b/src/node/call_metrics.cc
@@ -38,9 +38,10 @@
   std::string text;
   for (int bin = 0; bin < bin_count; ++bin) {
     sum += histogram.at(bin);
-    text += name + "_bucket{" + labels + separator + "le=\"" +
-            FormatBound(histogram.axis().bin(bin).upper()) + "\"} " +
-            std::to_string(static_cast<std::uint64_t>(sum)) + "\n";
+    text += name;
+    text += "_bucket{" + labels + separator;
+    text += "le=\"" + FormatBound(histogram.axis().bin(bin).upper()) + "\"} ";
+    text += std::to_string(static_cast<std::uint64_t>(sum)) + "\n";
   }
   sum += histogram.at(bin_count);
   const std::string count = std::to_string(static_cast<std::uint64_t>(sum));
--- a/src/protocol/control_codec.cc
+++ b/src/protocol/control_codec.cc
@@ -13,7 +13,8 @@
   std::string bytes((bits.size() + kBitsPerByte - 1) / kBitsPerByte, '\0');
   for (std::size_t index = 0; index < bits.size(); ++index) {
     if (bits[index]) {
-      bytes[index / kBitsPerByte] |= 1 << (index % kBitsPerByte);
+      char& byte = bytes[index / kBitsPerByte];
+      byte = static_cast<char>(byte | 1 << (index % kBitsPerByte));
     }
   }
   return bytes;
--- a/src/state/handle_table.cc
+++ b/src/state/handle_table.cc
@@ -17,7 +17,7 @@
 
 std::string HandleTable::Open(const CallContext& context,
                               std::uint32_t retries) {
-  const std::string handle = this->incarnation + "." + RandomHex(kHandleBytes);
+  std::string handle = this->incarnation + "." + RandomHex(kHandleBytes);
   const std::lock_guard lock(this->mutex);
   Record& record = this->records[handle];
   record.context = context;
--- a/src/transport/target_client.cc
+++ b/src/transport/target_client.cc
@@ -108,7 +108,7 @@
 std::shared_ptr<TargetClient::Connection> TargetClient::TakeIdle(
     TargetExchange& exchange) {
   while (!this->idle.empty()) {
-    const std::shared_ptr<Connection> connection = this->idle.front();
+    std::shared_ptr<Connection> connection = this->idle.front();
     this->idle.pop_front();
     if (!IsStale(connection->stream.socket())) {
       return connection;
