--- a/tests/support/token_world.cc
+++ b/tests/support/token_world.cc
@@ -9,7 +9,6 @@
 
 constexpr std::chrono::milliseconds kTokenInterval{100};
 constexpr std::chrono::milliseconds kListDelay{300};
-constexpr std::chrono::milliseconds kWaitTime{60};
 
 }  // namespace
 
@@ -318,15 +317,25 @@
   }
   StockSet& stocks = node->second->stocks;
   stocks.AddDemand(customer, this->Now());
-  const bool admitted = stocks.Take(customer, this->Now());
+  const bool admitted = this->Retry(name, customer);
   if (!admitted && !stocks.IsExhausted(customer)) {
-    // The call waits a little, though here nobody serves it any more.
+    // Waiting calls draw at once.
+    node->second->next_tokens = this->Now();
     stocks.AddWaiting(customer, 1);
     this->messages.push_back(
         {name, name, this->Now() + kWaitTime, [customer](NodeProcess& process) {
            process.stocks.AddWaiting(customer, -1);
          }});
   }
+  return admitted;
+}
+
+bool TokenWorld::Retry(const std::string& name, const std::string& customer) {
+  const auto node = this->nodes.find(name);
+  if (node == this->nodes.end() || this->paused.contains(name)) {
+    return false;
+  }
+  const bool admitted = node->second->stocks.Take(customer, this->Now());
   if (admitted) {
     this->bounds.at(customer).Admit(this->Now());
   }
--- a/tests/support/token_world.h
+++ b/tests/support/token_world.h
@@ -59,8 +59,10 @@
   void Step();
   void RunFor(Duration time);
 
-  /// A request of a customer at a node; true if it was admitted.
+  /// A request of a customer at a node; true if it was admitted. One that was
+  /// not may still be by Retry() while it waits for kWaitTime.
   bool Take(const std::string& node, const std::string& customer);
+  bool Retry(const std::string& node, const std::string& customer);
 
   void SetFaults(const LinkFaults& new_faults) { this->faults = new_faults; }
   /// Cuts a data centre off from the others, or joins it again.
@@ -85,6 +87,7 @@
   std::uint64_t MessageCount() const { return this->message_count; }
 
   static constexpr std::chrono::milliseconds kStep{10};
+  static constexpr std::chrono::milliseconds kWaitTime{60};
 
  private:
   struct NodeProcess;
