Draw tokens from few minters

Cause: at 48 nodes and 8 customers a node sent 34 KB/s of control messages (target 7 KB/s at 930 nodes): each entry asked all minters of each customer for a fraction of a token ten times a second.

Ruled out: heartbeats, 2.4 KB/s and flat from 24 nodes on.

Change: an entry keeps to a few minters in an order of its own, asks each for a whole token at least, widens its reach while it is short and narrows it slowly, and asks minters that do not answer only once a second.

--- a/src/coordination/stock_set.cc
+++ b/src/coordination/stock_set.cc
@@ -1,10 +1,12 @@
 #include "coordination/stock_set.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "coordination/mint_plan.h"
 #include "coordination/mint_schedule.h"
+#include "state/key_digest.h"
 
 namespace daisywinch {
 
@@ -15,6 +17,13 @@
 /// Part of one token, or of what was asked for, below which the minters count
 /// as empty.
 constexpr double kExhaustedPart = 0.5;
+/// Tokens that one minter is asked for before another is asked as well.
+constexpr double kTokensPerMinter = 16;
+/// Time without an answer after which a minter is asked only now and then.
+constexpr std::chrono::milliseconds kSilence{150};
+constexpr std::chrono::milliseconds kProbeInterval{1000};
+/// Rounds that met the demand before one minter fewer is asked.
+constexpr int kRoundsToNarrow = 20;
 /// Stock of a customer in use, so that a single call need not wait for tokens.
 constexpr double kLeastStock = 2;
 /// Part of a customer's burst that may lie idle in all stocks together: the
@@ -23,8 +32,10 @@
 
 }  // namespace
 
-StockSet::StockSet(std::string data_centre, std::uint64_t seed)
-    : data_centre(std::move(data_centre)), next_request_id(seed) {}
+StockSet::StockSet(std::string vm, std::string data_centre, std::uint64_t seed)
+    : vm(std::move(vm)),
+      data_centre(std::move(data_centre)),
+      next_request_id(seed) {}
 
 StockSet::CustomerStock& StockSet::StockOf(const std::string& customer) {
   return this->stocks.try_emplace(customer, kHolderTokenLease).first->second;
@@ -75,6 +86,11 @@
   for (auto& [vm, request] : requests) {
     request.request_id = this->next_request_id++;
     this->open_requests[request.request_id] = {vm, now};
+    MinterContact& contact = this->contacts[vm];
+    contact.unanswered_since =
+        contact.is_waiting ? contact.unanswered_since : now;
+    contact.is_waiting = true;
+    contact.asked_at = now;
     addressed.push_back({vm, std::move(request)});
   }
   return addressed;
@@ -100,37 +116,89 @@
         std::max(1.0, static_cast<double>(snapshot.CurrentVmList().vms.size()));
     stock.tokens.SetLeastStock(
         std::min(kLeastStock, kIdleBurstPart * customer->burst / nodes));
-    for (const DataCentre& site : configuration.data_centres) {
-      stock.minters[site.name] = MintersOf(snapshot, *customer, site.name);
-    }
+    stock.minters = this->OrderMinters(snapshot, *customer);
   }
   this->planned_configuration = configuration.version;
   this->planned_vm_list = vm_list_version;
 }
 
+std::vector<std::string> StockSet::OrderMinters(
+    const Snapshot& snapshot,
+    const Customer& customer) const {
+  std::vector<std::string> ordered;
+  const auto append = [&](const std::string& site) {
+    std::vector<std::string> names = MintersOf(snapshot, customer, site);
+    // Entries differ in their order, so that all minters get their part.
+    std::sort(names.begin(), names.end(),
+              [this](const std::string& left, const std::string& right) {
+                return Sha256Hex(this->vm + "\n" + left) <
+                       Sha256Hex(this->vm + "\n" + right);
+              });
+    ordered.insert(ordered.end(), names.begin(), names.end());
+  };
+  append(this->data_centre);
+  for (const DataCentre& site : snapshot.CurrentConfiguration().data_centres) {
+    if (site.name != this->data_centre) {
+      append(site.name);
+    }
+  }
+  return ordered;
+}
+
+bool StockSet::IsWorthAsking(const std::string& minter, TimePoint now) const {
+  const auto contact = this->contacts.find(minter);
+  return contact == this->contacts.end() || !contact->second.is_waiting ||
+         now - contact->second.unanswered_since < kSilence ||
+         now - contact->second.asked_at > kProbeInterval;
+}
+
+void StockSet::UpdateReach(CustomerStock& stock, double wanted) {
+  const std::size_t all = stock.minters.size();
+  const std::size_t needed =
+      static_cast<std::size_t>(std::ceil(wanted / kTokensPerMinter));
+  const bool was_short = stock.got < kShortPart * stock.asked_for;
+  stock.exhausted = was_short && stock.reach == all &&
+                    stock.got < kExhaustedPart * std::min(1.0, stock.asked_for);
+  ++stock.rounds;
+  if (was_short) {
+    stock.reach = 2 * stock.reach + 1;
+    stock.rounds = 0;
+  } else if (stock.rounds >= kRoundsToNarrow && stock.reach > 1) {
+    stock.reach -= 1;
+    stock.rounds = 0;
+  }
+  stock.reach = std::min(std::max(stock.reach, needed), all);
+}
+
 void StockSet::AddDraws(const std::string& customer,
                         CustomerStock& stock,
                         TimePoint now,
                         std::map<std::string, TokenRequest>& requests) {
   const double wanted = stock.tokens.Wanted(now);
-  const bool was_short = stock.got < kShortPart * stock.asked_for;
-  stock.exhausted = stock.asked_everywhere &&
-                    stock.got < kExhaustedPart * std::min(1.0, stock.asked_for);
-  stock.asked_everywhere = was_short;
+  this->UpdateReach(stock, wanted);
   stock.asked_for = wanted;
   stock.got = 0;
   if (wanted <= 0) {
     return;
   }
-  std::vector<std::string> minters;
-  for (const auto& [site, names] : stock.minters) {
-    if (was_short || site == this->data_centre) {
-      minters.insert(minters.end(), names.begin(), names.end());
+  // A minter is asked for a whole token at least: parts of one that come from
+  // several are of no use while one of them does not answer.
+  std::vector<std::string> chosen;
+  const std::size_t most = static_cast<std::size_t>(std::ceil(wanted));
+  for (std::size_t step = 0; step < stock.reach && chosen.size() < most;
+       ++step) {
+    const std::string& minter =
+        stock.minters[(stock.next_minter + step) % stock.reach];
+    if (this->IsWorthAsking(minter, now)) {
+      chosen.push_back(minter);
     }
   }
-  for (const std::string& minter : minters) {
+  for (const std::string& minter : chosen) {
     requests[minter].draws.push_back(
-        {customer, wanted / static_cast<double>(minters.size())});
+        {customer, wanted / static_cast<double>(chosen.size())});
+  }
+  if (stock.reach > 1) {
+    stock.next_minter = (stock.next_minter + chosen.size()) % stock.reach;
   }
 }
 
@@ -142,6 +210,7 @@
     return;
   }
   const TimePoint asked_at = open->second.asked_at;
+  this->contacts[vm].is_waiting = false;
   this->open_requests.erase(open);
   if (now - asked_at >= kHolderTokenLease) {
     return;
--- a/src/coordination/stock_set.h
+++ b/src/coordination/stock_set.h
@@ -22,7 +22,7 @@
 class StockSet {
  public:
   /// `seed` sets off the request ids of this process from those of others.
-  StockSet(std::string data_centre, std::uint64_t seed);
+  StockSet(std::string vm, std::string data_centre, std::uint64_t seed);
 
   /// Notes that a call of a customer needs a token.
   void AddDemand(const std::string& customer, TimePoint now);
@@ -37,8 +37,9 @@
   /// Requests that report what was spent and draw what is wanted, at most one
   /// for each minter.
   ///
-  /// The own data centre's minters are asked first; those of the others are
-  /// asked as well while their tokens do not meet the demand.
+  /// Each entry keeps to a few minters of its own, so that there is little to
+  /// send. More are asked while those do not meet the demand: first all of
+  /// the own data centre, then those of the others.
   std::vector<AddressedTokenRequest> MakeRequests(const Snapshot& snapshot,
                                                   TimePoint now);
 
@@ -54,14 +55,33 @@
     /// Tokens that the last requests asked for and got.
     double asked_for = 0;
     double got = 0;
-    bool asked_everywhere = false;
+    /// Minters that the last requests went to.
+    std::size_t reach = 0;
+    /// Where the next round begins among the minters within reach.
+    std::size_t next_minter = 0;
+    /// Rounds since the reach was changed.
+    int rounds = 0;
     bool exhausted = false;
-    /// Minters by data centre for the snapshot that they were worked out for.
-    std::map<std::string, std::vector<std::string>> minters;
+    /// All minters in the order in which this entry asks them.
+    std::vector<std::string> minters;
   };
 
+  /// What a minter did with the last requests.
+  struct MinterContact {
+    bool is_waiting = false;
+    /// Sending time of the first request that was not answered.
+    TimePoint unanswered_since;
+    TimePoint asked_at;
+  };
+
+  /// Whether a minter answers, or is to be tried again.
+  bool IsWorthAsking(const std::string& minter, TimePoint now) const;
   CustomerStock& StockOf(const std::string& customer);
   void UpdateMinters(const Snapshot& snapshot);
+  std::vector<std::string> OrderMinters(const Snapshot& snapshot,
+                                        const Customer& customer) const;
+  /// Decides how many minters to ask by what the last round gave.
+  static void UpdateReach(CustomerStock& stock, double wanted);
   void AddDraws(const std::string& customer,
                 CustomerStock& stock,
                 TimePoint now,
@@ -73,9 +93,11 @@
     TimePoint asked_at;
   };
 
+  std::string vm;
   std::string data_centre;
   std::uint64_t next_request_id;
   std::map<std::uint64_t, OpenRequest> open_requests;
+  std::map<std::string, MinterContact> contacts;
   std::map<std::string, CustomerStock> stocks;
   std::uint64_t planned_configuration = 0;
   std::uint64_t planned_vm_list = 0;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -58,7 +58,7 @@
               }),
       rate_limiter(this->entry_context,
                    this->clock,
-                   settings.data_centre,
+                   this->settings,
                    RandomSeed(),
                    this->snapshots,
                    [this](const AddressedTokenRequest& request) {
--- a/src/node/rate_limiter.cc
+++ b/src/node/rate_limiter.cc
@@ -22,14 +22,14 @@
 
 RateLimiter::RateLimiter(asio::io_context& context,
                          const Clock& clock,
-                         std::string data_centre,
+                         const Settings& settings,
                          std::uint64_t seed,
                          const SnapshotHolder& snapshots,
                          RequestSender send_request)
     : context(context),
       clock(clock),
       snapshots(snapshots),
-      stocks(std::move(data_centre), seed),
+      stocks(settings.vm, settings.data_centre, seed),
       send_request(std::move(send_request)) {}
 
 void RateLimiter::Start() {
--- a/src/node/rate_limiter.h
+++ b/src/node/rate_limiter.h
@@ -8,6 +8,7 @@
 
 #include "coordination/stock_set.h"
 #include "state/clock.h"
+#include "state/settings.h"
 #include "state/snapshot.h"
 #include "transport/asio.h"
 
@@ -25,7 +26,7 @@
 
   RateLimiter(asio::io_context& context,
               const Clock& clock,
-              std::string data_centre,
+              const Settings& settings,
               std::uint64_t seed,
               const SnapshotHolder& snapshots,
               RequestSender send_request);
--- a/tests/coordination/rate_bound_test.cc
+++ b/tests/coordination/rate_bound_test.cc
@@ -271,7 +271,7 @@
   list.vms[0].name = "a1";
   list.vms[0].data_centre = "a";
   const Snapshot snapshot(configuration, list, {});
-  StockSet stocks("a", 1);
+  StockSet stocks("a1", "a", 1);
   stocks.AddDemand("school", start);
   stocks.AddWaiting("school", 1);
   const std::vector<AddressedTokenRequest> requests =
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -10,6 +10,7 @@
 #include <array>
 #include <atomic>
 #include <cstdlib>
+#include <fstream>
 #include <thread>
 
 namespace daisywinch::test {
@@ -116,4 +117,13 @@
          std::chrono::nanoseconds(time.tv_nsec);
 }
 
+std::size_t Process::MemoryBytes() const {
+  std::ifstream file("/proc/" + std::to_string(this->pid) + "/statm");
+  std::size_t total = 0;
+  std::size_t resident = 0;
+  std::size_t shared = 0;
+  file >> total >> resident >> shared;
+  return (resident - shared) * static_cast<std::size_t>(::getpagesize());
+}
+
 }  // namespace daisywinch::test
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -32,6 +32,8 @@
   std::optional<int> WaitForExit(Duration timeout);
   /// Processor time used so far, by all threads.
   Duration ProcessorTime() const;
+  /// Resident memory that is not shared with files.
+  std::size_t MemoryBytes() const;
 
  private:
   pid_t pid = 0;
--- a/tests/support/token_world.cc
+++ b/tests/support/token_world.cc
@@ -23,7 +23,7 @@
         peers(name, site, incarnation, incarnation),
         schedule(now),
         minters(incarnation),
-        stocks(site, incarnation << 32) {}
+        stocks(name, site, incarnation << 32) {}
 
   std::string name;
   std::uint64_t incarnation;
