--- a/src/node/gate.cc
+++ b/src/node/gate.cc
@@ -161,10 +161,21 @@
   this->shares.SetWeight("", kOpenRouteWeight);
   this->records.SetWindow(configuration.repeat_window);
   this->ownership.SetWindow(configuration.repeat_window);
+  this->taken_out = this->IsTakenOut();
   this->ownership.TakeTargets(TargetNames(*this->snapshot, this->service),
                               this->clock.Now());
 }
 
+bool Gate::IsTakenOut() const {
+  const Vm* own = this->snapshot->CurrentVmList().Find(this->vm);
+  if (own == nullptr) {
+    return false;
+  }
+  const DataCentre* site =
+      this->snapshot->CurrentConfiguration().FindDataCentre(own->data_centre);
+  return own->leaving || (site != nullptr && !site->in_service);
+}
+
 Awaitable<protocol::CallReply> Gate::Decide(GateCall& call) {
   if (call.is_recorded) {
     std::optional<protocol::CallReply> known = this->ReplyFromRecord(call);
@@ -175,7 +186,7 @@
   RefusalReason reason = RefusalReason::kNone;
   if (this->limit.Limit() == 0) {
     reason = RefusalReason::kNotReady;
-  } else if (this->draining) {
+  } else if (this->draining || this->taken_out) {
     reason = RefusalReason::kDraining;
   }
   if (reason == RefusalReason::kNone) {
--- a/src/node/gate.h
+++ b/src/node/gate.h
@@ -73,6 +73,8 @@
   };
 
   void TakeSnapshot();
+  /// Whether the VM list or the configuration takes this VM out of service.
+  bool IsTakenOut() const;
   Awaitable<protocol::CallReply> Decide(GateCall& call);
   /// The reply that an earlier request with the same key determines, if any.
   std::optional<protocol::CallReply> ReplyFromRecord(const GateCall& call);
@@ -107,6 +109,7 @@
   int in_flight = 0;
   int most_in_flight = 0;
   bool reported_warm = false;
+  bool taken_out = false;
   std::atomic<int> calls_in_progress = 0;
   std::atomic<bool> draining = false;
 };
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -183,6 +183,7 @@
   const TimePoint latest = this->clock.Now() + this->settings.shutdown_timeout;
   const auto is_idle = [this] {
     return this->gate.CallsInProgress() == 0 &&
+           this->call_server.CallsInProgress() == 0 &&
            this->caller_server.RequestsInProgress() == 0;
   };
   while (!is_idle() && this->clock.Now() < latest) {
--- a/src/transport/call_server.cc
+++ b/src/transport/call_server.cc
@@ -106,12 +106,14 @@
   const std::shared_ptr<Cancellation> cancellation =
       std::make_shared<Cancellation>();
   connection->calls[call_id] = cancellation;
+  ++this->calls_in_progress;
   protocol::CallFrame frame;
   *frame.mutable_reply() =
       co_await this->handler(std::move(request), cancellation);
   frame.mutable_reply()->set_call_id(call_id);
   connection->calls.erase(call_id);
-  connection->stream->Send(frame);
+  connection->stream->Send(frame, nullptr,
+                           [this] { --this->calls_in_progress; });
 }
 
 }  // namespace daisywinch
--- a/src/transport/call_server.h
+++ b/src/transport/call_server.h
@@ -1,6 +1,7 @@
 #ifndef DAISYWINCH_TRANSPORT_CALL_SERVER_H
 #define DAISYWINCH_TRANSPORT_CALL_SERVER_H
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -32,6 +33,9 @@
   void StopAccepting();
   void CloseConnections();
 
+  /// Calls whose reply has not been written yet. Safe from any thread.
+  int CallsInProgress() const { return this->calls_in_progress; }
+
   /// Connections that did not prove the fleet's secret.
   std::uint64_t RejectedConnections() const {
     return this->rejected_connections;
@@ -55,6 +59,7 @@
   Handler handler;
   Tcp::acceptor acceptor;
   std::list<std::shared_ptr<Connection>> connections;
+  std::atomic<int> calls_in_progress = 0;
   std::uint64_t rejected_connections = 0;
 };
 
--- a/src/transport/frame_stream.cc
+++ b/src/transport/frame_stream.cc
@@ -90,11 +90,16 @@
 }
 
 void FrameStream::Send(const protocol::CallFrame& frame,
-                       std::function<bool()> should_send) {
+                       std::function<bool()> should_send,
+                       std::function<void()> on_finished) {
   if (this->closed) {
+    if (on_finished) {
+      on_finished();
+    }
     return;
   }
-  this->queue.push_back({EncodeFrame(frame), std::move(should_send)});
+  this->queue.push_back(
+      {EncodeFrame(frame), std::move(should_send), std::move(on_finished)});
   if (!this->writing) {
     this->writing = true;
     asio::co_spawn(this->socket.get_executor(),
@@ -105,13 +110,15 @@
 Awaitable<> FrameStream::WriteQueue(std::shared_ptr<FrameStream> self) {
   while (!this->queue.empty() && !this->closed) {
     std::string bytes;
-    for (QueuedFrame& frame : std::exchange(this->queue, {})) {
+    const std::deque<QueuedFrame> frames = std::exchange(this->queue, {});
+    for (const QueuedFrame& frame : frames) {
       if (!frame.should_send || frame.should_send()) {
         bytes += frame.bytes;
       }
     }
     ErrorCode error;
     co_await asio::async_write(this->socket, asio::buffer(bytes), Await(error));
+    Finish(frames);
     if (error) {
       this->Close();
     }
@@ -119,11 +126,20 @@
   self->writing = false;
 }
 
+void FrameStream::Finish(const std::deque<QueuedFrame>& frames) {
+  for (const QueuedFrame& frame : frames) {
+    if (frame.on_finished) {
+      frame.on_finished();
+    }
+  }
+}
+
 void FrameStream::Close() {
   if (this->closed) {
     return;
   }
   this->closed = true;
+  Finish(std::exchange(this->queue, {}));
   ErrorCode ignored;
   this->socket.lowest_layer().close(ignored);
 }
--- a/src/transport/frame_stream.h
+++ b/src/transport/frame_stream.h
@@ -40,9 +40,11 @@
 
   /// Queues a frame. Asks `should_send` just before its first byte is handed
   /// to the operating system, and drops the frame if the answer is no; never
-  /// asks if the connection ends first.
+  /// asks if the connection ends first. Calls `on_finished` once the frame was
+  /// written or dropped.
   void Send(const protocol::CallFrame& frame,
-            std::function<bool()> should_send = nullptr);
+            std::function<bool()> should_send = nullptr,
+            std::function<void()> on_finished = nullptr);
 
   void Close();
   bool IsClosed() const { return this->closed; }
@@ -51,8 +53,10 @@
   struct QueuedFrame {
     std::string bytes;
     std::function<bool()> should_send;
+    std::function<void()> on_finished;
   };
 
+  static void Finish(const std::deque<QueuedFrame>& frames);
   Awaitable<> WriteQueue(std::shared_ptr<FrameStream> self);
   Awaitable<bool> Handshake(asio::ssl::stream_base::handshake_type type,
                             Duration timeout);
--- a/tests/end_to_end/fleet_test.cc
+++ b/tests/end_to_end/fleet_test.cc
@@ -1,11 +1,14 @@
 #include <csignal>
 #include <thread>
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "state/key_digest.h"
 #include "support/parallel_calls.h"
 #include "support/test_fleet.h"
+#include "transport/call_client.h"
+#include "transport/psk_context.h"
 
 namespace daisywinch::test {
 
@@ -59,6 +62,31 @@
   TestFleet fleet;
 };
 
+/// Sends one call straight to the gate of a VM, as another node would.
+protocol::CallReply CallGate(const TestVm& vm, const std::string& secret) {
+  asio::io_context context(1);
+  asio::ssl::context tls = MakePskContext(secret);
+  const SystemClock clock;
+  const std::shared_ptr<CallClient> client = std::make_shared<CallClient>(
+      context, tls, clock, vm.peer, std::size_t{1} << 20);
+  protocol::CallRequest request;
+  request.set_route("look-up");
+  request.set_customer("school");
+  request.set_method("GET");
+  request.set_path("/points/1");
+  request.set_repeatable(true);
+  protocol::CallReply reply;
+  asio::co_spawn(context,
+                 client->Call(request, clock.Now() + std::chrono::seconds(3),
+                              std::make_shared<Cancellation>()),
+                 [&](std::exception_ptr, protocol::CallReply result) {
+                   reply = std::move(result);
+                   client->Close();
+                 });
+  context.run();
+  return reply;
+}
+
 Configuration WithoutSchoolKey(int version) {
   Configuration configuration = MakeConfiguration(StandardAnswers(version));
   configuration.customers[0].key_digests.clear();
@@ -215,6 +243,29 @@
   BOOST_TEST(this->fleet.Runs(leaving).size() == before);
 }
 
+BOOST_AUTO_TEST_CASE(leaving_gate_refuses_new_work_itself) {
+  TestVm& leaving = *this->fleet.Vms()[0];
+  BOOST_TEST(CallGate(leaving, TestFleet::kFleetSecret).outcome() ==
+             protocol::OUTCOME_ANSWERED);
+  this->fleet.PublishVmList({leaving.name});
+  protocol::CallReply reply;
+  WaitUntil([&] {
+    reply = CallGate(leaving, TestFleet::kFleetSecret);
+    return reply.outcome() != protocol::OUTCOME_ANSWERED;
+  });
+  BOOST_TEST(reply.outcome() == protocol::OUTCOME_NOT_RUN);
+  BOOST_TEST(reply.reason() ==
+             static_cast<std::uint32_t>(RefusalReason::kDraining));
+}
+
+BOOST_AUTO_TEST_CASE(gate_takes_no_call_without_the_secret) {
+  TestVm& vm = *this->fleet.Vms()[0];
+  const protocol::CallReply reply =
+      CallGate(vm, "ffeeddccbbaa99887766554433221100");
+  BOOST_TEST(reply.outcome() == protocol::OUTCOME_NOT_RUN);
+  BOOST_TEST(this->fleet.Runs(vm).empty());
+}
+
 BOOST_AUTO_TEST_CASE(killed_node_is_suspected_and_its_work_goes_elsewhere) {
   this->fleet.Vms()[0]->node_process->Kill();
   for (int call = 0; call < 50; ++call) {
