--- /dev/null
+++ b/bench/decisions_main.cc
@@ -0,0 +1,104 @@
+#include <benchmark/benchmark.h>
+
+#include "coordination/stock_set.h"
+#include "protocol/frame_codec.h"
+#include "protocol/message_seal.h"
+#include "state/admission_queue.h"
+#include "state/key_digest.h"
+#include "state/target_chooser.h"
+#include "support/fake_clock.h"
+#include "support/test_fleet.h"
+
+namespace daisywinch::bench {
+
+namespace {
+
+using test::FakeClock;
+
+/// Queue of a gate that is full, with work of several customers.
+void QueueAddAndNext(benchmark::State& state) {
+  FakeClock clock;
+  FairShare shares;
+  AdmissionQueue queue(shares);
+  queue.SetCapacity(state.range(0));
+  std::vector<std::uint64_t> expired;
+  std::uint64_t id = 0;
+  while (state.KeepRunning()) {
+    const TimePoint now = clock.Now();
+    queue.Add({++id, RequestClass::kNormal, "c" + std::to_string(id % 8), now,
+               now + std::chrono::seconds(1)},
+              now);
+    if (id % 2 == 0) {
+      benchmark::DoNotOptimize(queue.Next(now, expired));
+    }
+  }
+}
+BENCHMARK(QueueAddAndNext)->Arg(32)->Arg(256);
+
+void TakeToken(benchmark::State& state) {
+  FakeClock clock;
+  StockSet stocks("a1", "a", 1);
+  while (state.KeepRunning()) {
+    stocks.AddDemand("school", clock.Now());
+    benchmark::DoNotOptimize(stocks.Take("school", clock.Now()));
+  }
+}
+BENCHMARK(TakeToken);
+
+void ChooseTarget(benchmark::State& state) {
+  FakeClock clock;
+  VmList list;
+  for (int number = 0; number < state.range(0); ++number) {
+    Vm vm;
+    vm.name = "vm" + std::to_string(number);
+    vm.data_centre = number % 5 == 0 ? "east" : "west";
+    vm.service = "back";
+    list.vms.push_back(vm);
+  }
+  const Snapshot snapshot(test::MakeConfiguration(test::StandardAnswers(1)),
+                          list, {});
+  TargetChooser chooser("east", 1);
+  while (state.KeepRunning()) {
+    benchmark::DoNotOptimize(chooser.Choose(snapshot, "back", "school",
+                                            RequestClass::kNormal, "", {},
+                                            clock.Now()));
+  }
+}
+BENCHMARK(ChooseTarget)->Arg(9)->Arg(100);
+
+void FindCustomerByKey(benchmark::State& state) {
+  const KeyTable keys(test::MakeConfiguration(test::StandardAnswers(1)));
+  const std::string key = test::KeyOf("school");
+  while (state.KeepRunning()) {
+    benchmark::DoNotOptimize(keys.FindCustomer(key));
+  }
+}
+BENCHMARK(FindCustomerByKey);
+
+void EncodeAndDecodeCall(benchmark::State& state) {
+  protocol::CallFrame frame;
+  frame.mutable_request()->set_customer("school");
+  frame.mutable_request()->set_path("/points/7");
+  frame.mutable_request()->set_body(std::string(512, 'x'));
+  while (state.KeepRunning()) {
+    FrameDecoder decoder(1 << 20);
+    decoder.Append(EncodeFrame(frame));
+    benchmark::DoNotOptimize(decoder.Next());
+  }
+}
+BENCHMARK(EncodeAndDecodeCall);
+
+void SealAndOpen(benchmark::State& state) {
+  const MessageSeal seal("00112233445566778899aabbccddeeff", 1);
+  const std::string message(100, 'x');
+  while (state.KeepRunning()) {
+    benchmark::DoNotOptimize(seal.Open(seal.Seal(message)));
+  }
+}
+BENCHMARK(SealAndOpen);
+
+}  // namespace
+
+}  // namespace daisywinch::bench
+
+BENCHMARK_MAIN();
