--- a/bench/experiments.cc
+++ b/bench/experiments.cc
@@ -221,6 +221,7 @@
   }
   load.RunFor(3 * kWarmUp);
   std::vector<StreamResult> before;
+  before.reserve(inside.size());
   for (const std::size_t index : inside) {
     before.push_back(load.Result(index));
   }
--- a/src/coordination/peer_table.cc
+++ b/src/coordination/peer_table.cc
@@ -93,6 +93,10 @@
 }
 
 void PeerTable::TakeState(const NodeState& state) {
+  this->newest_configuration_version =
+      std::max(this->newest_configuration_version, state.configuration_version);
+  this->newest_vm_list_version =
+      std::max(this->newest_vm_list_version, state.vm_list_version);
   const bool is_comparable =
       state.vm_list_version == this->vm_list_version &&
       state.applied.size() == this->applied.size() &&
@@ -150,6 +154,11 @@
   return {static_cast<std::size_t>(behind), this->witnesses.size()};
 }
 
+bool PeerTable::IsBehind() const {
+  return this->newest_configuration_version > this->configuration_version ||
+         this->newest_vm_list_version > this->vm_list_version;
+}
+
 std::set<std::string> PeerTable::Suspected(TimePoint now) const {
   std::set<std::string> names;
   for (const auto& [name, peer] : this->peers) {
--- a/src/coordination/peer_table.h
+++ b/src/coordination/peer_table.h
@@ -71,6 +71,8 @@
   /// list than this node's.
   bool MayMint(TimePoint now) const;
   ListKnowledge Knowledge() const;
+  /// Whether a peer has told of a newer configuration or VM list.
+  bool IsBehind() const;
 
   /// Peers that were sent heartbeats and have not answered for long.
   std::set<std::string> Suspected(TimePoint now) const;
@@ -106,6 +108,9 @@
   std::uint64_t configuration_version = 0;
   std::uint64_t vm_list_version = 0;
   bool draining = false;
+  /// Highest versions that peers have told of.
+  std::uint64_t newest_configuration_version = 0;
+  std::uint64_t newest_vm_list_version = 0;
   /// VMs of the own data centre in the order of the list.
   std::vector<std::string> neighbours;
   std::vector<bool> applied;
--- a/src/daisywinch/commands.cc
+++ b/src/daisywinch/commands.cc
@@ -113,7 +113,10 @@
   InitializeEventLog(absl::GetFlag(FLAGS_verbose) ? Severity::kInformation
                                                   : Severity::kWarning);
   Node node(*settings);
-  return node.Run();
+  const int status = node.Run();
+  // The process ends here, with its work done and its log written: taking down
+  // control sockets that peers still use can take longer than it is worth.
+  std::_Exit(status);
 }
 
 /// Whether the next configuration may follow the previous one.
--- a/src/node/call_metrics.cc
+++ b/src/node/call_metrics.cc
@@ -39,7 +39,9 @@
   for (int bin = 0; bin < bin_count; ++bin) {
     sum += histogram.at(bin);
     text += name;
-    text += "_bucket{" + labels + separator;
+    text += "_bucket{";
+    text += labels;
+    text += separator;
     text += "le=\"" + FormatBound(histogram.axis().bin(bin).upper()) + "\"} ";
     text += std::to_string(static_cast<std::uint64_t>(sum)) + "\n";
   }
--- a/src/node/control_service.cc
+++ b/src/node/control_service.cc
@@ -39,7 +39,9 @@
       fleet_view(fleet_view),
       token_receiver(std::move(token_receiver)),
       seal(settings.fleet_secret, incarnation),
-      socket(context, [this](std::string sealed) { this->Receive(sealed); }),
+      socket(context,
+             clock,
+             [this](std::string sealed) { this->Receive(sealed); }),
       peers(settings.vm, settings.data_centre, incarnation, incarnation),
       schedule(clock.Now()),
       minters(incarnation) {}
@@ -61,6 +63,7 @@
     this->ReportSuspicion();
     this->ReleaseWhenConfirmed();
     this->Settle();
+    this->socket.CloseUnused();
     Timer timer(this->context, kHeartbeatInterval);
     ErrorCode ignored;
     co_await timer.async_wait(Await(ignored));
@@ -100,9 +103,9 @@
     return;
   }
   const TimePoint now = this->clock.Now();
-  // Half of the witnesses answering with no newer list is the same condition.
-  if (this->peers.MayMint(now) ||
-      now - *this->known_since > kConfirmationTime) {
+  const bool is_confirmed = this->peers.MayMint(now) && !this->peers.IsBehind();
+  const bool waited_enough = now - *this->known_since > kConfirmationTime;
+  if (is_confirmed || waited_enough) {
     this->released = true;
     this->fleet_view.Release();
     LogEvent(EventId::kNodeReady, {{"vm", this->settings.vm}});
@@ -229,6 +232,7 @@
            boost::json::array(this->suspected.begin(), this->suspected.end())},
           {"rejected_messages", this->rejected_messages},
           {"documents_refused", this->configurations_refused},
+          {"control_connections", this->socket.ConnectionCount()},
           {"sent_bytes", this->socket.SentBytes()},
           {"sent_messages", this->socket.SentMessages()}};
 }
--- a/src/node/entry.cc
+++ b/src/node/entry.cc
@@ -1,11 +1,11 @@
 #include "node/entry.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include <boost/asio/post.hpp>
 
+#include "node/caller_messages.h"
 #include "state/key_digest.h"
 #include "transport/call_client.h"
 
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr std::string_view kBearerPrefix = "Bearer ";
 constexpr double kRetryBudgetCapacity = 100;
 constexpr double kInitialRetryRatio = 0.1;
 constexpr int kServerError = 500;
@@ -21,7 +20,6 @@
 constexpr int kRootIdBytes = 4;
 /// Other targets that a request is sent to after one did not receive it.
 constexpr int kMostRedirects = 3;
-constexpr std::string_view kFirstAttempt = "1";
 
 /// Whether a request that ended like this has cost the target its work.
 bool IsServerError(const protocol::CallReply& reply) {
@@ -39,100 +37,6 @@
           reason == RefusalReason::kNotReady);
 }
 
-std::string_view BearerKey(const HttpRequest& request) {
-  const std::string_view value = request[http::field::authorization];
-  return value.starts_with(kBearerPrefix) ? value.substr(kBearerPrefix.size())
-                                          : std::string_view();
-}
-
-/// Removes the query parameters that hold the key.
-std::string RemoveKeyFromQuery(std::string_view target, std::string_view key) {
-  const std::size_t question_mark = target.find('?');
-  if (key.empty() || question_mark == std::string_view::npos) {
-    return std::string(target);
-  }
-  std::string cleaned(target.substr(0, question_mark));
-  char separator = '?';
-  std::string_view query = target.substr(question_mark + 1);
-  while (!query.empty()) {
-    const std::size_t ampersand = query.find('&');
-    const std::string_view parameter = query.substr(0, ampersand);
-    query = ampersand == std::string_view::npos ? std::string_view()
-                                                : query.substr(ampersand + 1);
-    if (parameter.find(key) == std::string_view::npos) {
-      cleaned += separator;
-      cleaned += parameter;
-      separator = '&';
-    }
-  }
-  return cleaned;
-}
-
-/// Copies to the message what the target may see of the request.
-void FillMessage(HttpRequest& request, protocol::CallRequest& message) {
-  const std::string key(BearerKey(request));
-  message.set_method(std::string(request.method_string()));
-  message.set_path(RemoveKeyFromQuery(request.target(), key));
-  RemoveHopByHopFields(request);
-  request.erase(http::field::authorization);
-  request.erase(kHandleHeader);
-  request.erase(kTimeoutHeader);
-  request.erase(kIdempotencyKeyHeader);
-  request.erase(kAttemptHeader);
-  for (const http::fields::value_type& field : request) {
-    const std::string_view value = field.value();
-    if (!key.empty() && value.find(key) != std::string_view::npos) {
-      continue;
-    }
-    protocol::Header* header = message.add_headers();
-    header->set_name(std::string(field.name_string()));
-    header->set_value(std::string(value));
-  }
-  message.set_body(std::move(request.body()));
-}
-
-/// The caller's own timeout, bounded by the route's.
-Duration TimeoutFor(const HttpRequest& request, const Route& route) {
-  const std::string_view text = request[kTimeoutHeader];
-  std::int64_t milliseconds = 0;
-  const std::from_chars_result result =
-      std::from_chars(text.data(), text.data() + text.size(), milliseconds);
-  if (text.empty() || result.ec != std::errc() || milliseconds < 0) {
-    return route.timeout;
-  }
-  return std::min<Duration>(route.timeout,
-                            std::chrono::milliseconds(milliseconds));
-}
-
-/// Whether the request may be a repeat of one that ran at most once.
-///
-/// A refusal of this request then says nothing about the earlier ones, unless
-/// it comes from the gate that keeps their record.
-/// Where the route is not known yet, it may be one that runs at most once.
-bool MayRepeatEarlier(const HttpRequest& request, const Route* route) {
-  const bool is_repeatable = route != nullptr && route->repeatable;
-  return !is_repeatable &&
-         !std::string_view(request[kIdempotencyKeyHeader]).empty() &&
-         request[kAttemptHeader] != kFirstAttempt;
-}
-
-HttpResponse MakeResponse(protocol::CallReply reply, bool may_repeat_earlier) {
-  if (reply.outcome() != protocol::OUTCOME_ANSWERED) {
-    const Refusal& refusal = Describe(reply.reason());
-    const bool knows_earlier = reply.has_load();
-    return MakeProblem(refusal, may_repeat_earlier && !knows_earlier
-                                    ? Execution::kUnknown
-                                    : refusal.execution);
-  }
-  HttpResponse response(static_cast<http::status>(reply.status()), 11);
-  for (const protocol::Header& header : reply.headers()) {
-    response.insert(header.name(), header.value());
-  }
-  response.body() = std::move(*reply.mutable_body());
-  response.prepare_payload();
-  return response;
-}
-
 }  // namespace
 
 Entry::Entry(asio::io_context& context,
@@ -160,12 +64,12 @@
   const TimePoint started = this->clock.Now();
   RefusalReason reason = RefusalReason::kNone;
   std::optional<Call> call;
-  bool may_repeat_earlier = MayRepeatEarlier(request, nullptr);
+  bool may_repeat_earlier = MayRepeatEarlierRequest(request, nullptr);
   const std::shared_ptr<const Snapshot> snapshot = this->snapshots.Load();
   if (snapshot) {
     const Route* route =
         snapshot->Routes().Find(request.method_string(), request.target());
-    may_repeat_earlier = MayRepeatEarlier(request, route);
+    may_repeat_earlier = MayRepeatEarlierRequest(request, route);
     call = co_await this->Admit(snapshot, route, request, reason);
   } else {
     reason = RefusalReason::kNotReady;
@@ -241,56 +145,36 @@
   message.set_repeatable(call.route->repeatable);
   message.set_root_id(call.context.root_id);
   message.set_idempotency_key(call.idempotency_key);
-  message.set_first_attempt(request[kAttemptHeader] == kFirstAttempt);
-  FillMessage(request, message);
+  message.set_first_attempt(IsFirstAttempt(request));
+  MoveToMessage(request, message);
   co_return call;
 }
 
 bool Entry::Identify(const HttpRequest& request,
                      Call& call,
                      RefusalReason& reason) {
-  const std::string handle(request[kHandleHeader]);
-  const std::string_view key = BearerKey(request);
-  const Configuration& configuration = call.snapshot->CurrentConfiguration();
-  const bool is_open = call.route != nullptr && call.route->open;
-  if (!handle.empty()) {
+  call.parent_handle = std::string(request[kHandleHeader]);
+  if (call.parent_handle.empty()) {
+    reason = this->FindCaller(request, call);
+  } else {
     const std::optional<CallContext> parent =
-        this->handles.Find(handle, reason);
-    if (!parent) {
-      return false;
-    }
-    call.parent_handle = handle;
-    call.context = *parent;
-  } else if (!key.empty()) {
-    const std::string* customer = call.snapshot->Keys().FindCustomer(key);
-    if (customer == nullptr && !is_open) {
-      reason = RefusalReason::kUnknownKey;
-      return false;
-    }
-    call.context.customer = customer == nullptr ? "" : *customer;
-  } else if (!is_open) {
-    reason = RefusalReason::kUnknownKey;
-    return false;
+        this->handles.Find(call.parent_handle, reason);
+    call.context = parent.value_or(CallContext());
   }
-  if (call.route == nullptr) {
-    reason = RefusalReason::kUnknownRoute;
-    return false;
-  }
-  if (call.route->retired) {
-    reason = RefusalReason::kRouteRetired;
-    return false;
-  }
-  if (!is_open && !call.route->Admits(call.context.customer)) {
-    reason = RefusalReason::kRouteNotAllowed;
-    return false;
+  if (reason == RefusalReason::kNone) {
+    reason = CheckRoute(call);
   }
-  if (request[kIdempotencyKeyHeader].size() > kLongestIdempotencyKey) {
+  const std::string_view idempotency_key = request[kIdempotencyKeyHeader];
+  if (reason == RefusalReason::kNone &&
+      idempotency_key.size() > kLongestIdempotencyKey) {
     reason = RefusalReason::kHeaderTooLarge;
+  }
+  if (reason != RefusalReason::kNone) {
     return false;
   }
   const TimePoint own_deadline =
-      this->clock.Now() + TimeoutFor(request, *call.route);
-  if (!handle.empty()) {
+      this->clock.Now() + TimeoutOf(request, *call.route);
+  if (!call.parent_handle.empty()) {
     call.context.deadline = std::min(call.context.deadline, own_deadline);
     return true;
   }
@@ -298,12 +182,33 @@
   call.context.request_class = call.route->request_class;
   call.context.root_id =
       this->root_id_prefix + std::to_string(this->next_root_id++);
-  call.retries_left = configuration.tree_retries;
-  if (this->draining) {
-    reason = RefusalReason::kDraining;
-    return false;
+  call.retries_left = call.snapshot->CurrentConfiguration().tree_retries;
+  reason = this->draining ? RefusalReason::kDraining : RefusalReason::kNone;
+  return reason == RefusalReason::kNone;
+}
+
+RefusalReason Entry::FindCaller(const HttpRequest& request, Call& call) const {
+  const std::string_view key = KeyOf(request);
+  const std::string* customer =
+      key.empty() ? nullptr : call.snapshot->Keys().FindCustomer(key);
+  if (customer != nullptr) {
+    call.context.customer = *customer;
+    return RefusalReason::kNone;
+  }
+  const bool is_open = call.route != nullptr && call.route->open;
+  return is_open ? RefusalReason::kNone : RefusalReason::kUnknownKey;
+}
+
+RefusalReason Entry::CheckRoute(const Call& call) {
+  if (call.route == nullptr) {
+    return RefusalReason::kUnknownRoute;
+  }
+  if (call.route->retired) {
+    return RefusalReason::kRouteRetired;
   }
-  return true;
+  const bool is_allowed =
+      call.route->open || call.route->Admits(call.context.customer);
+  return is_allowed ? RefusalReason::kNone : RefusalReason::kRouteNotAllowed;
 }
 
 Awaitable<protocol::CallReply> Entry::SendWithRetries(
--- a/src/node/entry.h
+++ b/src/node/entry.h
@@ -68,7 +68,12 @@
                                        const Route* route,
                                        HttpRequest& request,
                                        RefusalReason& reason);
+  /// Finds out for whom the request is and what it inherits.
   bool Identify(const HttpRequest& request, Call& call, RefusalReason& reason);
+  /// Finds the customer of the key that came with a caller's own request.
+  RefusalReason FindCaller(const HttpRequest& request, Call& call) const;
+  /// Whether the caller may use the route.
+  static RefusalReason CheckRoute(const Call& call);
   Awaitable<protocol::CallReply> SendWithRetries(
       Call& call,
       std::shared_ptr<Cancellation> cancellation);
--- a/src/node/gate.cc
+++ b/src/node/gate.cc
@@ -3,17 +3,14 @@
 #include <algorithm>
 #include <utility>
 
+#include "node/target_messages.h"
 #include "state/event_log.h"
 #include "transport/call_client.h"
-#include "transport/http.h"
 
 namespace daisywinch {
 
 namespace {
 
-/// Value of the outcome header by which a target says that it shed a request
-/// before starting it.
-constexpr std::string_view kNotRunValue = "not-run";
 constexpr char kInstanceHeader[] = "Server-Instance";
 constexpr std::size_t kRecordLimit = 50'000;
 constexpr std::size_t kRecordByteLimit = 16 * 1024 * 1024;
@@ -21,71 +18,6 @@
 constexpr std::size_t kQueuePerSlot = 2;
 constexpr double kOpenRouteWeight = 1;
 
-HttpRequest MakeTargetRequest(const protocol::CallRequest& call,
-                              const std::string& handle,
-                              Duration remaining) {
-  HttpRequest request;
-  request.version(11);
-  request.method_string(call.method());
-  request.target(call.path());
-  for (const protocol::Header& header : call.headers()) {
-    request.insert(header.name(), header.value());
-  }
-  request.set(kHandleHeader, handle);
-  request.set(
-      kTimeoutHeader,
-      std::to_string(
-          std::chrono::duration_cast<std::chrono::milliseconds>(remaining)
-              .count()));
-  if (!call.idempotency_key().empty()) {
-    request.set(kIdempotencyKeyHeader, call.idempotency_key());
-  }
-  request.keep_alive(true);
-  request.body() = call.body();
-  request.prepare_payload();
-  return request;
-}
-
-/// Whether a target says that it shed a request before starting it.
-bool IsShed(const HttpResponse& response) {
-  return response.result() == http::status::service_unavailable &&
-         response[kOutcomeHeader] == kNotRunValue;
-}
-
-protocol::CallReply MakeAnsweredReply(HttpResponse response) {
-  if (IsShed(response)) {
-    return MakeRefusedReply(RefusalReason::kShedByTarget);
-  }
-  protocol::CallReply reply;
-  reply.set_outcome(protocol::OUTCOME_ANSWERED);
-  reply.set_status(response.result_int());
-  RemoveHopByHopFields(response);
-  for (const http::fields::value_type& field : response) {
-    protocol::Header* header = reply.add_headers();
-    header->set_name(std::string(field.name_string()));
-    header->set_value(std::string(field.value()));
-  }
-  reply.set_body(std::move(response.body()));
-  return reply;
-}
-
-protocol::CallReply MakeReply(TargetExchange exchange) {
-  switch (exchange.end) {
-    case TargetExchange::End::kAnswered:
-      return MakeAnsweredReply(std::move(exchange.response));
-    case TargetExchange::End::kNotSent:
-      return MakeRefusedReply(RefusalReason::kTargetUnreachable);
-    case TargetExchange::End::kLost:
-      return MakeRefusedReply(RefusalReason::kAnswerLost);
-    case TargetExchange::End::kDeadline:
-    case TargetExchange::End::kCancelled:
-      return MakeRefusedReply(RefusalReason::kDeadlinePassed);
-    case TargetExchange::End::kAnswerTooLarge:
-      return MakeRefusedReply(RefusalReason::kAnswerTooLarge);
-  }
-  return MakeRefusedReply(RefusalReason::kAnswerLost);
-}
-
 std::uint64_t ToMicroseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::microseconds>(duration)
       .count();
@@ -330,7 +262,7 @@
   sample.latency = ended - started - closed.onward_time;
   sample.in_flight = this->in_flight;
   sample.instance = std::string(exchange.response[kInstanceHeader]);
-  this->TakeExchange(call, exchange, sample);
+  this->TakeExchange(exchange, sample);
   --this->in_flight;
   this->StartQueued();
   protocol::CallReply reply = MakeReply(std::move(exchange));
@@ -340,8 +272,7 @@
   co_return reply;
 }
 
-void Gate::TakeExchange(const GateCall& /*call*/,
-                        const TargetExchange& exchange,
+void Gate::TakeExchange(const TargetExchange& exchange,
                         const TargetSample& sample) {
   const TimePoint now = this->clock.Now();
   switch (exchange.end) {
--- a/src/node/gate.h
+++ b/src/node/gate.h
@@ -82,9 +82,7 @@
   /// Waits for a free slot; returns why the call may not start, or kNone.
   Awaitable<RefusalReason> WaitForSlot(const GateCall& call);
   Awaitable<protocol::CallReply> Run(GateCall& call);
-  void TakeExchange(const GateCall& call,
-                    const TargetExchange& exchange,
-                    const TargetSample& sample);
+  void TakeExchange(const TargetExchange& exchange, const TargetSample& sample);
   void StartQueued();
   void EndWait(std::uint64_t id, RefusalReason result);
   void AddLoad(const GateCall& call, protocol::CallReply& reply);
--- a/src/node/platform_watcher.cc
+++ b/src/node/platform_watcher.cc
@@ -1,5 +1,6 @@
 #include "node/platform_watcher.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -15,6 +16,7 @@
 constexpr std::chrono::seconds kWatchTime{25};
 constexpr std::chrono::milliseconds kShortestPause{250};
 constexpr std::chrono::milliseconds kLongestPause{750};
+constexpr int kMostDoublings = 3;
 constexpr std::chrono::milliseconds kShortestSlowRead{20'000};
 constexpr std::chrono::milliseconds kLongestSlowRead{40'000};
 /// How often a node that reads slowly asks whether it is to watch.
@@ -59,15 +61,25 @@
     }
     const bool is_missing = this->revision == 0 || !this->reachable;
     if (is_missing) {
-      Timer pause(this->context, RandomBetween(kShortestPause, kLongestPause));
-      ErrorCode ignored;
-      co_await pause.async_wait(Await(ignored));
+      co_await this->WaitForRetry();
     } else if (!this->should_watch()) {
       co_await this->WaitForSlowRead();
     }
   }
 }
 
+Awaitable<> PlatformWatcher::WaitForRetry() {
+  // The few nodes that watch come back fast. Starting nodes, of which there
+  // may be a whole fleet, slow down.
+  const int doublings =
+      this->revision == 0 ? std::min(this->empty_reads++, kMostDoublings) : 0;
+  const int factor = 1 << doublings;
+  Timer pause(this->context,
+              RandomBetween(factor * kShortestPause, factor * kLongestPause));
+  ErrorCode ignored;
+  co_await pause.async_wait(Await(ignored));
+}
+
 Awaitable<> PlatformWatcher::WaitForSlowRead() {
   const TimePoint next =
       BootTime::now() + RandomBetween(kShortestSlowRead, kLongestSlowRead);
--- a/src/node/platform_watcher.h
+++ b/src/node/platform_watcher.h
@@ -33,6 +33,8 @@
 
  private:
   Awaitable<> Watch();
+  /// Waits before the platform is asked again after it gave nothing.
+  Awaitable<> WaitForRetry();
   /// Waits for the time of the next slow read, or until a watch is due.
   Awaitable<> WaitForSlowRead();
   void SetReachable(bool is_reachable);
@@ -43,6 +45,8 @@
   Receiver receiver;
   WatchRule should_watch;
   std::uint64_t revision = 0;
+  /// Reads in a row that gave nothing to a node without a value.
+  int empty_reads = 0;
   bool reachable = true;
 };
 
--- a/src/state/configuration_difference.cc
+++ b/src/state/configuration_difference.cc
@@ -1,6 +1,7 @@
 #include "state/configuration_difference.h"
 
 #include <map>
+#include <sstream>
 
 #include <boost/json.hpp>
 
@@ -23,8 +24,11 @@
       continue;
     }
     for (const boost::json::value& item : field.value().get_array()) {
-      const std::string item_name(item.at("name").as_string());
-      parts[name + " \"" + item_name + "\""] = boost::json::serialize(item);
+      std::string label = name;
+      label += " \"";
+      label += item.at("name").as_string();
+      label += "\"";
+      parts[label] = boost::json::serialize(item);
     }
   }
   return parts;
@@ -35,23 +39,23 @@
 std::string DescribeDifference(const Configuration& previous,
                                const Configuration& next) {
   std::map<std::string, std::string> removed = DescribeParts(previous);
-  std::string text;
+  std::ostringstream text;
   for (const auto& [label, description] : DescribeParts(next)) {
     const auto before = removed.find(label);
     if (before == removed.end()) {
-      text += "added " + label + ": " + description + "\n";
+      text << "added " << label << ": " << description << "\n";
       continue;
     }
     if (before->second != description) {
-      text += "changed " + label + ": " + before->second + " -> " +
-              description + "\n";
+      text << "changed " << label << ": " << before->second << " -> "
+           << description << "\n";
     }
     removed.erase(before);
   }
   for (const auto& [label, description] : removed) {
-    text += "removed " + label + "\n";
+    text << "removed " << label << "\n";
   }
-  return text;
+  return text.str();
 }
 
 }  // namespace daisywinch
--- a/src/state/snapshot.h
+++ b/src/state/snapshot.h
@@ -1,8 +1,8 @@
 #ifndef DAISYWINCH_STATE_SNAPSHOT_H
 #define DAISYWINCH_STATE_SNAPSHOT_H
 
-#include <atomic>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <string>
 #include <string_view>
@@ -50,15 +50,23 @@
 };
 
 /// Hands the newest snapshot from the control thread to traffic threads.
+///
+/// The lock is held for the copy of a pointer only. (The atomic shared pointer
+/// of libstdc++ 12 reads without the ordering that a reader needs.)
 class SnapshotHolder {
  public:
-  std::shared_ptr<const Snapshot> Load() const { return this->current.load(); }
+  std::shared_ptr<const Snapshot> Load() const {
+    const std::lock_guard lock(this->mutex);
+    return this->current;
+  }
   void Publish(std::shared_ptr<const Snapshot> next) {
-    this->current.store(std::move(next));
+    const std::lock_guard lock(this->mutex);
+    this->current.swap(next);
   }
 
  private:
-  std::atomic<std::shared_ptr<const Snapshot>> current;
+  mutable std::mutex mutex;
+  std::shared_ptr<const Snapshot> current;
 };
 
 }  // namespace daisywinch
--- a/src/transport/control_socket.cc
+++ b/src/transport/control_socket.cc
@@ -12,6 +12,7 @@
 
 constexpr std::size_t kMessageLimit = 2 * 1024 * 1024;
 constexpr int kSendBuffer = 64;
+constexpr std::chrono::seconds kUnusedTime{30};
 constexpr nng_duration kShortestReconnectMs = 50;
 constexpr nng_duration kLongestReconnectMs = 500;
 
@@ -21,8 +22,10 @@
 
 }  // namespace
 
-ControlSocket::ControlSocket(asio::io_context& context, Receiver receiver)
-    : context(context), receiver(std::move(receiver)) {}
+ControlSocket::ControlSocket(asio::io_context& context,
+                             const Clock& clock,
+                             Receiver receiver)
+    : context(context), clock(clock), receiver(std::move(receiver)) {}
 
 ControlSocket::~ControlSocket() {
   if (this->receive != nullptr) {
@@ -30,8 +33,8 @@
     nng_close(this->pull);
     nng_aio_free(this->receive);
   }
-  for (const auto& [address, socket] : this->pushes) {
-    nng_close(socket);
+  for (const auto& [address, push] : this->pushes) {
+    nng_close(push.socket);
   }
 }
 
@@ -73,13 +76,14 @@
 }
 
 void ControlSocket::Send(const Address& address, const std::string& message) {
-  nng_socket* socket = this->FindOrDial(address);
-  if (socket == nullptr) {
+  Push* push = this->FindOrDial(address);
+  if (push == nullptr) {
     return;
   }
+  push->used_at = this->clock.Now();
   // nng does not change the bytes; its parameter is not const for the flag
   // that hands over ownership.
-  const int error = nng_send(*socket, const_cast<char*>(message.data()),
+  const int error = nng_send(push->socket, const_cast<char*>(message.data()),
                              message.size(), NNG_FLAG_NONBLOCK);
   if (error == 0) {
     this->sent_bytes += message.size();
@@ -87,7 +91,7 @@
   }
 }
 
-nng_socket* ControlSocket::FindOrDial(const Address& address) {
+ControlSocket::Push* ControlSocket::FindOrDial(const Address& address) {
   const std::string name = address.ToString();
   const auto found = this->pushes.find(name);
   if (found != this->pushes.end()) {
@@ -104,7 +108,7 @@
     nng_close(socket);
     return nullptr;
   }
-  return &this->pushes.emplace(name, socket).first->second;
+  return &this->pushes.emplace(name, Push{socket, TimePoint()}).first->second;
 }
 
 void ControlSocket::KeepOnly(const std::set<std::string>& addresses) {
@@ -112,7 +116,18 @@
     if (addresses.contains(push.first)) {
       return false;
     }
-    nng_close(push.second);
+    nng_close(push.second.socket);
+    return true;
+  });
+}
+
+void ControlSocket::CloseUnused() {
+  const TimePoint oldest = this->clock.Now() - kUnusedTime;
+  std::erase_if(this->pushes, [oldest](const auto& push) {
+    if (push.second.used_at >= oldest) {
+      return false;
+    }
+    nng_close(push.second.socket);
     return true;
   });
 }
--- a/src/transport/control_socket.h
+++ b/src/transport/control_socket.h
@@ -22,7 +22,9 @@
  public:
   using Receiver = std::function<void(std::string message)>;
 
-  ControlSocket(asio::io_context& context, Receiver receiver);
+  ControlSocket(asio::io_context& context,
+                const Clock& clock,
+                Receiver receiver);
   ~ControlSocket();
   ControlSocket(const ControlSocket&) = delete;
   ControlSocket& operator=(const ControlSocket&) = delete;
@@ -34,19 +36,29 @@
   void Send(const Address& address, const std::string& message);
   /// Closes the connections to all other addresses.
   void KeepOnly(const std::set<std::string>& addresses);
+  /// Closes the connections on which nothing was sent for a while.
+  void CloseUnused();
+  std::size_t ConnectionCount() const { return this->pushes.size(); }
 
   std::uint64_t SentBytes() const { return this->sent_bytes; }
   std::uint64_t SentMessages() const { return this->sent_messages; }
 
  private:
+  /// A connection to one peer.
+  struct Push {
+    nng_socket socket = NNG_SOCKET_INITIALIZER;
+    TimePoint used_at;
+  };
+
   static void OnReceive(void* self);
-  nng_socket* FindOrDial(const Address& address);
+  Push* FindOrDial(const Address& address);
 
   asio::io_context& context;
+  const Clock& clock;
   Receiver receiver;
   nng_socket pull = NNG_SOCKET_INITIALIZER;
   nng_aio* receive = nullptr;
-  std::map<std::string, nng_socket> pushes;
+  std::map<std::string, Push> pushes;
   std::uint64_t sent_bytes = 0;
   std::uint64_t sent_messages = 0;
   std::string last_reason;
--- a/tests/coordination/peer_table_test.cc
+++ b/tests/coordination/peer_table_test.cc
@@ -108,6 +108,16 @@
   BOOST_TEST(this->own.Knowledge().not_applied == 1);
 }
 
+BOOST_AUTO_TEST_CASE(newer_version_of_a_peer_is_remembered_until_it_came) {
+  this->own.SetConfigurationVersion(1);
+  this->other.SetConfigurationVersion(2);
+  BOOST_TEST(!this->own.IsBehind());
+  BOOST_TEST(this->Exchange());
+  BOOST_TEST(this->own.IsBehind());
+  this->own.SetConfigurationVersion(2);
+  BOOST_TEST(!this->own.IsBehind());
+}
+
 BOOST_AUTO_TEST_CASE(highest_version_wins_whatever_the_order) {
   SnapshotHolder snapshots;
   FleetView view(snapshots);
