Let a few calls wait while the minters are empty

Change: up to four calls of a customer wait while the minters are empty, without asking them more often; a customer far over its rate fills these places and is refused at once beyond them.

--- a/src/coordination/stock_set.cc
+++ b/src/coordination/stock_set.cc
@@ -53,6 +53,11 @@
   this->StockOf(customer).tokens.AddWaiting(change);
 }
 
+int StockSet::Waiting(const std::string& customer) const {
+  const auto found = this->stocks.find(customer);
+  return found == this->stocks.end() ? 0 : found->second.tokens.Waiting();
+}
+
 bool StockSet::IsExhausted(const std::string& customer) const {
   const auto found = this->stocks.find(customer);
   return found != this->stocks.end() && found->second.exhausted;
--- a/src/coordination/stock_set.h
+++ b/src/coordination/stock_set.h
@@ -30,6 +30,7 @@
   bool Take(const std::string& customer, TimePoint now);
   /// Changes the number of a customer's calls that wait for a token.
   void AddWaiting(const std::string& customer, int change);
+  int Waiting(const std::string& customer) const;
 
   /// Whether the last round of draws, from all data centres, gave nothing.
   bool IsExhausted(const std::string& customer) const;
--- a/src/node/rate_limiter.cc
+++ b/src/node/rate_limiter.cc
@@ -13,6 +13,8 @@
 constexpr std::chrono::milliseconds kExchangeInterval{100};
 /// Longest time that a call waits for tokens.
 constexpr std::chrono::milliseconds kTokenTimeout{250};
+/// Calls of a customer that may wait while the minters are empty.
+constexpr int kMostWaitingWhenExhausted = 4;
 /// Time after which a waiting call looks again.
 constexpr std::chrono::milliseconds kWaitInterval{10};
 /// Time between two exchanges that waiting calls ask for.
@@ -62,7 +64,10 @@
   if (this->stocks.Take(customer, this->clock.Now())) {
     co_return true;
   }
-  if (this->stocks.IsExhausted(customer)) {
+  // A customer far over its rate fills these few places; one that is a call
+  // ahead of its tokens waits for the next.
+  if (this->stocks.IsExhausted(customer) &&
+      this->stocks.Waiting(customer) >= kMostWaitingWhenExhausted) {
     co_return false;
   }
   this->stocks.AddWaiting(customer, 1);
@@ -75,7 +80,8 @@
   const TimePoint latest = this->clock.Now() + kTokenTimeout;
   while (this->clock.Now() < latest) {
     const TimePoint now = this->clock.Now();
-    if (now - this->exchanged_at >= kLeastExchangeInterval) {
+    const bool may_help = !this->stocks.IsExhausted(customer);
+    if (may_help && now - this->exchanged_at >= kLeastExchangeInterval) {
       this->Exchange();
     }
     const std::shared_ptr<Timer> wake_up = std::make_shared<Timer>(
--- a/src/state/token_stock.h
+++ b/src/state/token_stock.h
@@ -42,6 +42,7 @@
   bool Take(TimePoint now);
   /// Changes the number of calls that wait for a token.
   void AddWaiting(int change) { this->waiting += change; }
+  int Waiting() const { return this->waiting; }
 
   /// Tokens to ask for, by recent demand and the calls that wait; 0 when there
   /// are enough.
