--- a/src/node/rate_limiter.h
+++ b/src/node/rate_limiter.h
@@ -17,8 +17,9 @@
 /// Holds each customer to its rate and burst over all nodes together.
 ///
 /// Spends tokens that were drawn ahead by demand. A call waits for tokens only
-/// when a customer asks for more than it lately did and the minters are not
-/// known to be empty. Runs on the entry's thread.
+/// when a customer asks for more than it lately did; while the minters are
+/// empty, only a few calls of each customer may wait. Runs on the entry's
+/// thread.
 class RateLimiter {
  public:
   /// Sends a request to a minter; the reply comes by TakeReply().
