--- a/bench/call_transport_main.cc
+++ b/bench/call_transport_main.cc
@@ -36,7 +36,7 @@
   asio::io_context server_context(1);
   asio::ssl::context server_tls = MakePskContext(kSecret);
   CallServer server(
-      server_context, server_tls, kSizeLimit,
+      server_context, &server_tls, kSizeLimit,
       [](protocol::CallRequest request,
          std::shared_ptr<Cancellation>) -> Awaitable<protocol::CallReply> {
         protocol::CallReply reply;
@@ -51,7 +51,7 @@
   asio::ssl::context tls = MakePskContext(kSecret);
   const SystemClock clock;
   const std::shared_ptr<CallClient> client = std::make_shared<CallClient>(
-      context, tls, clock, kCallAddress, kSizeLimit);
+      context, &tls, clock, kCallAddress, kSizeLimit);
   Times times;
   const auto run = [&]() -> Awaitable<> {
     for (int round = 0; round < kRounds; ++round) {
--- /dev/null
+++ b/src/coordination/mesh_directory.h
@@ -0,0 +1,63 @@
+#ifndef DAISYWINCH_COORDINATION_MESH_DIRECTORY_H
+#define DAISYWINCH_COORDINATION_MESH_DIRECTORY_H
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "state/clock.h"
+#include "state/mesh_configuration.h"
+#include "state/mesh_view.h"
+
+namespace daisywinch {
+
+/// What this node believes of configuration, targets and evacuations, from
+/// what the platform's store says.
+///
+/// Keeps the highest configuration that was ever accepted. While the store
+/// cannot be read, and for a short time after its return, a target that
+/// vanished from it is kept: its entry may have lapsed although it lives.
+class MeshDirectory {
+ public:
+  /// Takes a configuration; false if it is not newer than the one in force.
+  bool TakeConfiguration(std::shared_ptr<const MeshConfiguration> offered);
+  void TakeTarget(const MeshTarget& target);
+  void RemoveTarget(const std::string& id, TimePoint now);
+  void SetEvacuated(const std::string& data_centre, bool is_evacuated);
+
+  /// Takes the whole list of what stands in the store: what is not named in
+  /// it is removed.
+  void KeepOnlyTargets(const std::set<std::string>& ids, TimePoint now);
+  void KeepOnlyEvacuated(const std::set<std::string>& data_centres);
+
+  /// The store does not answer this node.
+  void StoreLost() { this->is_store_lost = true; }
+  /// The store has answered; true if it had been lost.
+  bool StoreBack(TimePoint now);
+
+  /// Removes the targets whose time is over; true if there were any.
+  bool Settle(TimePoint now);
+
+  std::uint64_t ConfigurationVersion() const {
+    return this->configuration ? this->configuration->Version() : 0;
+  }
+  std::shared_ptr<const MeshView> MakeView() const;
+
+ private:
+  std::shared_ptr<const MeshConfiguration> configuration;
+  std::map<std::string, MeshTarget> targets;
+  std::set<std::string> evacuated;
+  /// Targets that vanished around an outage of the store, and when to believe
+  /// it.
+  std::map<std::string, TimePoint> vanished;
+  bool is_store_lost = false;
+  /// End of the time in which lapsed entries may return.
+  std::optional<TimePoint> lapse_until;
+};
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_COORDINATION_MESH_DIRECTORY_H
--- a/src/daisywinch/commands.cc
+++ b/src/daisywinch/commands.cc
@@ -13,12 +13,14 @@
 #include <absl/flags/flag.h>
 
 #include "daisywinch/operator_client.h"
+#include "node/mesh_node.h"
 #include "node/node.h"
 #include "state/answers.h"
 #include "state/configuration.h"
 #include "state/configuration_difference.h"
 #include "state/event_log.h"
 #include "state/key_digest.h"
+#include "state/mesh_settings.h"
 #include "state/object_reader.h"
 #include "state/settings.h"
 
@@ -101,24 +103,42 @@
   return !value.empty();
 }
 
-int RunNode() {
-  const std::string name = absl::GetFlag(FLAGS_settings);
-  if (!RequireFlag(name, "settings")) {
-    return EXIT_FAILURE;
-  }
-  const std::optional<Settings> settings = ReadDocument(name, ReadSettings);
+/// Whether a settings file names the mesh interface; a file that cannot be
+/// read does not, and is told of by whoever reads it next.
+bool NamesMeshInterface(const std::string& name) {
+  const std::optional<std::string> text = ReadFile(name);
+  FaultList ignored(name);
+  const std::optional<boost::json::value> json =
+      text ? ParseJson(*text, ignored) : std::nullopt;
+  return json && json->is_object() && json->get_object().contains("interface");
+}
+
+/// Runs a node of either interface until it is told to stop.
+template <typename NodeType, typename SettingsType>
+int RunNodeWith(const std::optional<SettingsType>& settings) {
   if (!settings) {
     return EXIT_FAILURE;
   }
   InitializeEventLog(absl::GetFlag(FLAGS_verbose) ? Severity::kInformation
                                                   : Severity::kWarning);
-  Node node(*settings);
+  NodeType node(*settings);
   const int status = node.Run();
   // The process ends here, with its work done and its log written: taking down
   // control sockets that peers still use can take longer than it is worth.
   std::_Exit(status);
 }
 
+int RunNode() {
+  const std::string name = absl::GetFlag(FLAGS_settings);
+  if (!RequireFlag(name, "settings")) {
+    return EXIT_FAILURE;
+  }
+  if (NamesMeshInterface(name)) {
+    return RunNodeWith<MeshNode>(ReadDocument(name, ReadMeshSettings));
+  }
+  return RunNodeWith<Node>(ReadDocument(name, ReadSettings));
+}
+
 /// Whether the next configuration may follow the previous one.
 bool CheckSuccession(const Configuration& previous, const Configuration& next) {
   if (previous.deployment != next.deployment) {
--- a/src/node/gate_router.cc
+++ b/src/node/gate_router.cc
@@ -9,19 +9,19 @@
 namespace daisywinch {
 
 GateRouter::GateRouter(asio::io_context& context,
-                       asio::ssl::context& tls,
+                       asio::ssl::context* tls,
                        const Clock& clock,
                        std::string own_vm,
                        std::size_t size_limit,
                        asio::io_context& gate_context,
-                       Gate& own_gate)
+                       CallServer::Handler own_gate)
     : context(context),
       tls(tls),
       clock(clock),
       own_vm(std::move(own_vm)),
       size_limit(size_limit),
       gate_context(gate_context),
-      own_gate(own_gate) {}
+      own_gate(std::move(own_gate)) {}
 
 Awaitable<protocol::CallReply> GateRouter::Send(
     Vm vm,
@@ -57,8 +57,7 @@
                [gate_cancellation] { gate_cancellation->Cancel(); });
   });
   protocol::CallReply reply = co_await asio::co_spawn(
-      this->gate_context,
-      this->own_gate.Handle(std::move(request), gate_cancellation),
+      this->gate_context, this->own_gate(std::move(request), gate_cancellation),
       asio::use_awaitable);
   cancellation->ClearAction();
   co_return reply;
--- a/src/node/gate_router.h
+++ b/src/node/gate_router.h
@@ -7,9 +7,9 @@
 #include <unordered_map>
 
 #include "node/call_sender.h"
-#include "node/gate.h"
 #include "state/clock.h"
 #include "transport/call_client.h"
+#include "transport/call_server.h"
 
 namespace daisywinch {
 
@@ -20,12 +20,12 @@
 class GateRouter : public CallSender {
  public:
   GateRouter(asio::io_context& context,
-             asio::ssl::context& tls,
+             asio::ssl::context* tls,
              const Clock& clock,
              std::string own_vm,
              std::size_t size_limit,
              asio::io_context& gate_context,
-             Gate& own_gate);
+             CallServer::Handler own_gate);
 
   Awaitable<protocol::CallReply> Send(
       Vm vm,
@@ -43,12 +43,12 @@
       std::shared_ptr<Cancellation> cancellation);
 
   asio::io_context& context;
-  asio::ssl::context& tls;
+  asio::ssl::context* tls;
   const Clock& clock;
   std::string own_vm;
   std::size_t size_limit;
   asio::io_context& gate_context;
-  Gate& own_gate;
+  CallServer::Handler own_gate;
   /// Clients by peer address: a VM that moved gets a new connection.
   std::unordered_map<std::string, std::shared_ptr<CallClient>> clients;
 };
--- /dev/null
+++ b/src/node/mesh_entry.cc
@@ -0,0 +1,305 @@
+#include "node/mesh_entry.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "state/event_log.h"
+#include "transport/call_client.h"
+
+namespace daisywinch {
+
+namespace {
+
+constexpr int kServerError = 500;
+constexpr unsigned kServiceUnavailable = 503;
+/// Other gates that a call is sent to after one refused it unsent.
+constexpr int kMostRedirects = 3;
+/// Longest time that a caller is kept waiting where nobody says.
+constexpr std::chrono::seconds kLongestWait{60};
+/// Time that an answer needs back to its caller.
+constexpr std::chrono::milliseconds kAnswerMargin{10};
+/// Part of the operators' retry ratio that an entry spends: a repeated call
+/// repeats the calls below it, which count at their services too.
+constexpr double kRetryPart = 0.35;
+/// Retries that a quiet time can save up.
+constexpr double kRetryCapacity = 3;
+/// Span of the objective over which refused roots return.
+constexpr double kEarliestReturn = 0.15;
+constexpr double kLatestReturn = 0.4;
+constexpr Duration kUnknownObjective = std::chrono::seconds(1);
+/// Time after which a node that knows nothing yet is asked again.
+constexpr Duration kNotReadyReturn = std::chrono::milliseconds(400);
+
+RequestClass ClassOf(std::uint32_t priority) {
+  return static_cast<RequestClass>(
+      std::min<std::uint32_t>(priority, kRequestClassCount - 1));
+}
+
+std::uint64_t ToMicroseconds(Duration duration) {
+  return std::max<std::int64_t>(
+      0,
+      std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
+}
+
+GateResult ResultOf(const protocol::CallReply& reply) {
+  if (reply.outcome() == protocol::OUTCOME_ANSWERED) {
+    return reply.status() >= kServerError ? GateResult::kFailed
+                                          : GateResult::kServed;
+  }
+  const RefusalReason reason = static_cast<RefusalReason>(reply.reason());
+  if (reason == RefusalReason::kTargetUnreachable ||
+      (!reply.has_load() && reply.outcome() == protocol::OUTCOME_UNKNOWN)) {
+    return GateResult::kUnreachable;
+  }
+  return reply.reached_target() && reason != RefusalReason::kDeadlinePassed
+             ? GateResult::kFailed
+             : GateResult::kRefused;
+}
+
+}  // namespace
+
+MeshEntry::MeshEntry(asio::io_context& /*context*/,
+                     const Clock& clock,
+                     const MeshSettings& settings,
+                     std::uint64_t seed,
+                     const MeshViewHolder& views,
+                     CallSender& sender)
+    : clock(clock),
+      service(settings.service),
+      peer_address(settings.peer_address),
+      bounds(settings.bounds),
+      views(views),
+      sender(sender),
+      chooser(settings.data_centre, seed),
+      shares(settings.bounds),
+      random(seed) {}
+
+Awaitable<HttpResponse> MeshEntry::Handle(
+    HttpRequest request,
+    std::shared_ptr<Cancellation> cancellation) {
+  Call call;
+  call.started = this->clock.Now();
+  const RefusalReason reason = this->Admit(request, call);
+  if (reason != RefusalReason::kNone) {
+    this->Record(call, static_cast<std::uint32_t>(reason), Duration::zero());
+    co_return this->MakeRefusal(call, reason, true);
+  }
+  protocol::CallReply reply =
+      co_await this->SendWithRetries(call, std::move(cancellation));
+  const std::uint32_t number =
+      reply.outcome() == protocol::OUTCOME_ANSWERED ? 0 : reply.reason();
+  this->Record(call, number,
+               std::chrono::microseconds(reply.target_microseconds()));
+  co_return this->MakeAnswer(call, std::move(reply));
+}
+
+void MeshEntry::TakeView() {
+  std::shared_ptr<const MeshView> newest = this->views.Load();
+  if (newest == nullptr || newest == this->view) {
+    return;
+  }
+  this->view = std::move(newest);
+  this->node_count = std::max<int>(1, this->view->VmAddresses().size());
+  if (this->view->Configuration() != nullptr) {
+    this->shares.Configure(*this->view->Configuration(), this->node_count,
+                           this->clock.Now());
+  }
+}
+
+RefusalReason MeshEntry::Admit(HttpRequest& request, Call& call) {
+  this->TakeView();
+  const platform::AttemptHeaders headers =
+      platform::ReadAttemptHeaders(request);
+  call.attempt_id = headers.attempt_id;
+  if (this->view == nullptr || this->view->Configuration() == nullptr) {
+    return RefusalReason::kNotReady;
+  }
+  if (call.attempt_id.empty()) {
+    return RefusalReason::kMalformedRequest;
+  }
+  call.configuration = this->view->Configuration();
+  call.route = call.configuration->FindRoute(request[http::field::host],
+                                             request.target());
+  if (call.route == nullptr) {
+    return RefusalReason::kUnknownRoute;
+  }
+  const MeshCustomer* customer =
+      headers.key.empty() ? nullptr
+                          : call.configuration->FindCustomer(headers.key);
+  const bool needs_key =
+      !call.configuration->Customers().empty() && !call.route->open;
+  if (needs_key && customer == nullptr) {
+    return RefusalReason::kUnknownKey;
+  }
+  call.priority = call.route->priority;
+  // Targets make their calls without a key.
+  call.is_root = customer != nullptr || !call.route->open;
+  if (customer != nullptr) {
+    call.customer = customer->name;
+    call.priority =
+        customer->has_priority ? customer->priority : call.route->priority;
+  }
+  Duration longest = headers.timeout.value_or(kLongestWait);
+  if (call.route->timeout > Duration::zero()) {
+    longest = std::min(longest, call.route->timeout);
+  }
+  call.deadline =
+      call.started + std::max(Duration::zero(), longest - kAnswerMargin);
+  if (!call.customer.empty() &&
+      !this->shares.Take(call.customer, call.started)) {
+    return RefusalReason::kOverRate;
+  }
+  call.service = this->splitter.Choose(*call.route);
+  protocol::CallRequest& message = call.message;
+  message.set_route(call.route->name);
+  message.set_customer(call.customer);
+  message.set_repeatable(call.route->repeatable);
+  message.set_attempt_id(call.attempt_id);
+  message.set_caller_service(this->service);
+  message.set_priority(call.priority);
+  message.set_is_root(call.is_root);
+  platform::MoveToMessage(request, message);
+  return RefusalReason::kNone;
+}
+
+Awaitable<protocol::CallReply> MeshEntry::SendWithRetries(
+    Call& call,
+    std::shared_ptr<Cancellation> cancellation) {
+  this->RetriesOf(call.service).AddFreshCall();
+  std::set<std::string> tried;
+  int redirects = 0;
+  int targets_reached = 0;
+  protocol::CallReply reply = MakeRefusedReply(RefusalReason::kNoTarget);
+  while (true) {
+    this->TakeView();
+    const std::shared_ptr<const MeshView> kept = this->view;
+    const MeshTarget* target =
+        this->chooser.Choose(*kept, call.service, tried, this->clock.Now());
+    if (target == nullptr) {
+      co_return reply;
+    }
+    tried.insert(target->id);
+    reply = co_await this->SendOnce(call, *target, cancellation);
+    targets_reached += reply.reached_target() || !reply.has_load() ? 1 : 0;
+    if (cancellation->IsCancelled() || this->clock.Now() >= call.deadline) {
+      co_return reply;
+    }
+    const bool is_unsent =
+        reply.outcome() == protocol::OUTCOME_NOT_RUN && !reply.reached_target();
+    if (is_unsent) {
+      if (++redirects > kMostRedirects) {
+        co_return reply;
+      }
+      continue;
+    }
+    if (!this->MaySendAgain(call, reply, targets_reached)) {
+      co_return reply;
+    }
+  }
+}
+
+Awaitable<protocol::CallReply> MeshEntry::SendOnce(
+    Call& call,
+    const MeshTarget& target,
+    std::shared_ptr<Cancellation> cancellation) {
+  protocol::CallRequest message = call.message;
+  const std::string target_id = target.id;
+  message.set_target_id(target_id);
+  const Duration objective = call.route->objective > Duration::zero()
+                                 ? call.route->objective
+                                 : kUnknownObjective;
+  message.set_objective_microseconds(
+      ToMicroseconds(call.started + objective - this->clock.Now()));
+  Vm vm;
+  vm.name = target.address.ip;
+  vm.peer_address = {target.address.ip, this->peer_address.port};
+  this->chooser.CallStarted(target_id);
+  protocol::CallReply reply = co_await this->sender.Send(
+      vm, std::move(message), call.deadline, cancellation);
+  const TimePoint now = this->clock.Now();
+  if (cancellation->IsCancelled()) {
+    this->chooser.CallEnded(target_id, GateResult::kRefused, now);
+  } else {
+    this->chooser.CallEnded(target_id, ResultOf(reply), now);
+  }
+  if (reply.has_load()) {
+    TargetLoad load;
+    load.in_flight = static_cast<int>(reply.load().in_flight());
+    load.queued = static_cast<int>(reply.load().queued());
+    load.limit = static_cast<int>(reply.load().limit());
+    load.is_cold = reply.load().cold();
+    load.work = std::chrono::microseconds(reply.load().work_microseconds());
+    this->chooser.TakeLoad(target_id, load, now);
+  }
+  co_return reply;
+}
+
+bool MeshEntry::MaySendAgain(const Call& call,
+                             const protocol::CallReply& reply,
+                             int targets_reached) {
+  const bool has_failed = reply.outcome() != protocol::OUTCOME_ANSWERED ||
+                          static_cast<int>(reply.status()) >= kServerError;
+  const bool is_safe =
+      call.route->repeatable || reply.outcome() == protocol::OUTCOME_NOT_RUN;
+  return has_failed && is_safe && targets_reached < call.route->most_attempts &&
+         this->RetriesOf(call.service).TakeRetry();
+}
+
+RetryBudget& MeshEntry::RetriesOf(const std::string& service_name) {
+  return this->retries
+      .try_emplace(service_name, this->bounds.retry_ratio * kRetryPart,
+                   kRetryCapacity)
+      .first->second;
+}
+
+HttpResponse MeshEntry::MakeAnswer(const Call& call,
+                                   protocol::CallReply reply) {
+  if (reply.outcome() == protocol::OUTCOME_ANSWERED) {
+    return platform::MakeCallerAnswer(reply);
+  }
+  return this->MakeRefusal(call, static_cast<RefusalReason>(reply.reason()),
+                           reply.outcome() == protocol::OUTCOME_NOT_RUN);
+}
+
+HttpResponse MeshEntry::MakeRefusal(const Call& call,
+                                    RefusalReason reason,
+                                    bool has_not_run) {
+  const Refusal& refusal = Describe(reason);
+  const std::uint32_t number = static_cast<std::uint32_t>(reason);
+  unsigned status = refusal.status;
+  std::optional<Duration> retry_after;
+  if (has_not_run && status >= kServerError) {
+    status = kServiceUnavailable;
+  }
+  if (has_not_run && (refusal.retry_helps || status == kServiceUnavailable)) {
+    retry_after = this->RetryAfter(call, reason);
+  }
+  return platform::MakeRefusal(status, call.attempt_id, number, retry_after);
+}
+
+Duration MeshEntry::RetryAfter(const Call& call, RefusalReason reason) {
+  if (reason == RefusalReason::kNotReady || call.route == nullptr) {
+    return kNotReadyReturn;
+  }
+  const Duration objective = call.route->objective > Duration::zero()
+                                 ? call.route->objective
+                                 : kUnknownObjective;
+  std::uniform_real_distribution<double> part(kEarliestReturn, kLatestReturn);
+  return std::chrono::duration_cast<Duration>(objective * part(this->random));
+}
+
+void MeshEntry::TakeNews(const std::string& node,
+                         const std::map<std::string, double>& demand) {
+  this->shares.TakeNews(node, demand, this->clock.Now());
+}
+
+void MeshEntry::Record(const Call& call,
+                       std::uint32_t reason,
+                       Duration in_target) {
+  const Duration total = this->clock.Now() - call.started;
+  this->metrics.Record(call.customer, ClassOf(call.priority), reason, total,
+                       total - in_target);
+}
+
+}  // namespace daisywinch
--- /dev/null
+++ b/src/node/mesh_entry.h
@@ -0,0 +1,110 @@
+#ifndef DAISYWINCH_NODE_MESH_ENTRY_H
+#define DAISYWINCH_NODE_MESH_ENTRY_H
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+#include "node/call_metrics.h"
+#include "node/call_sender.h"
+#include "platform/attempt_messages.h"
+#include "state/clock.h"
+#include "state/customer_shares.h"
+#include "state/gate_chooser.h"
+#include "state/mesh_settings.h"
+#include "state/mesh_view.h"
+#include "state/part_splitter.h"
+#include "state/refusal.h"
+#include "state/retry_budget.h"
+#include "transport/asio.h"
+#include "transport/cancellation.h"
+#include "transport/http.h"
+
+namespace daisywinch {
+
+/// Takes requests on the mesh interface, from callers and from the target
+/// beside the node, and sends them to the gate of a target.
+///
+/// Runs on the traffic thread.
+class MeshEntry {
+ public:
+  MeshEntry(asio::io_context& context,
+            const Clock& clock,
+            const MeshSettings& settings,
+            std::uint64_t seed,
+            const MeshViewHolder& views,
+            CallSender& sender);
+
+  Awaitable<HttpResponse> Handle(HttpRequest request,
+                                 std::shared_ptr<Cancellation> cancellation);
+
+  /// Takes what customers ask of another node.
+  void TakeNews(const std::string& node,
+                const std::map<std::string, double>& demand);
+  std::map<std::string, double> OwnDemand() const {
+    return this->shares.OwnDemand(this->clock.Now());
+  }
+
+  const CallMetrics& Metrics() const { return this->metrics; }
+
+ private:
+  /// A request that was admitted, with all that its attempts need.
+  struct Call {
+    const MeshRoute* route = nullptr;
+    std::shared_ptr<const MeshConfiguration> configuration;
+    std::string service;
+    std::string customer;
+    std::string attempt_id;
+    std::uint32_t priority = 0;
+    bool is_root = true;
+    TimePoint started;
+    TimePoint deadline;
+    protocol::CallRequest message;
+  };
+
+  /// Fills in the call; returns why it may not go on, or kNone.
+  RefusalReason Admit(HttpRequest& request, Call& call);
+  void TakeView();
+  Awaitable<protocol::CallReply> SendWithRetries(
+      Call& call,
+      std::shared_ptr<Cancellation> cancellation);
+  Awaitable<protocol::CallReply> SendOnce(
+      Call& call,
+      const MeshTarget& target,
+      std::shared_ptr<Cancellation> cancellation);
+  /// Whether the call may be sent on after this reply.
+  bool MaySendAgain(const Call& call,
+                    const protocol::CallReply& reply,
+                    int targets_reached);
+  RetryBudget& RetriesOf(const std::string& service);
+  HttpResponse MakeAnswer(const Call& call, protocol::CallReply reply);
+  HttpResponse MakeRefusal(const Call& call,
+                           RefusalReason reason,
+                           bool has_not_run);
+  Duration RetryAfter(const Call& call, RefusalReason reason);
+  void Record(const Call& call, std::uint32_t reason, Duration in_target);
+
+  const Clock& clock;
+  std::string service;
+  Address peer_address;
+  MeshBounds bounds;
+  const MeshViewHolder& views;
+  std::shared_ptr<const MeshView> view;
+  int node_count = 1;
+  CallSender& sender;
+  GateChooser chooser;
+  PartSplitter splitter;
+  CustomerShares shares;
+  std::unordered_map<std::string, RetryBudget> retries;
+  CallMetrics metrics;
+  std::mt19937_64 random;
+};
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_NODE_MESH_ENTRY_H
--- /dev/null
+++ b/src/node/mesh_gate.cc
@@ -0,0 +1,360 @@
+#include "node/mesh_gate.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "platform/attempt_messages.h"
+#include "state/event_log.h"
+#include "transport/call_client.h"
+
+namespace daisywinch {
+
+namespace {
+
+/// Largest answer of a target in bytes; the platform's largest body.
+constexpr std::uint64_t kBodyLimit = 64ULL * 1024 * 1024;
+/// Part of a target's slots that is used: nearly full targets turn slow.
+constexpr double kUsedSlots = 0.95;
+/// Waiting requests for each slot.
+constexpr int kQueuePerSlot = 3;
+/// Part of its objective that a root waits for a slot; a later refusal costs
+/// its caller the time that it needs to come back.
+constexpr int kRootWaitPart = 8;
+constexpr std::chrono::milliseconds kLeastRootWait{20};
+constexpr std::chrono::milliseconds kHealthInterval{250};
+constexpr std::chrono::milliseconds kHealthTimeout{1000};
+/// Weight of one request in the mean time of requests.
+constexpr int kWorkWeight = 16;
+constexpr Duration kInitialWork = std::chrono::milliseconds(50);
+
+std::uint64_t ToMicroseconds(Duration duration) {
+  return std::max<std::int64_t>(
+      0,
+      std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
+}
+
+}  // namespace
+
+MeshGate::MeshGate(asio::io_context& context,
+                   const Clock& clock,
+                   const MeshSettings& settings,
+                   const MeshViewHolder& views)
+    : context(context),
+      clock(clock),
+      target_address(settings.target_address),
+      views(views),
+      target(context, settings.target_address, kBodyLimit),
+      queue(1),
+      work(kInitialWork) {}
+
+void MeshGate::Start() {
+  asio::co_spawn(this->context, this->CheckHealth(), asio::detached);
+}
+
+Awaitable<protocol::CallReply> MeshGate::Handle(
+    protocol::CallRequest request,
+    std::shared_ptr<Cancellation> cancellation) {
+  ++this->calls_in_progress;
+  protocol::CallReply reply =
+      co_await this->Decide(std::move(request), std::move(cancellation));
+  --this->calls_in_progress;
+  this->AddLoad(reply);
+  co_return reply;
+}
+
+void MeshGate::TakeView() {
+  std::shared_ptr<const MeshView> newest = this->views.Load();
+  if (newest == nullptr || newest == this->view) {
+    return;
+  }
+  const bool was_evacuated =
+      this->own_target != nullptr &&
+      this->view->IsEvacuated(this->own_target->data_centre);
+  this->view = std::move(newest);
+  this->own_target = this->view->FindAt(this->target_address);
+  if (this->own_target == nullptr) {
+    return;
+  }
+  const TimePoint now = this->clock.Now();
+  this->limit =
+      std::max(1, static_cast<int>(this->own_target->slots * kUsedSlots));
+  this->queue.SetCapacity(static_cast<std::size_t>(this->limit) *
+                          kQueuePerSlot);
+  this->temperature.TakeEntry(*this->own_target, now);
+  if (was_evacuated &&
+      !this->view->IsEvacuated(this->own_target->data_centre)) {
+    // Targets may have been restarted while nothing was sent to them.
+    this->temperature.TakeRestartSign(now);
+  }
+  const MeshService* service =
+      this->view->Configuration() == nullptr
+          ? nullptr
+          : this->view->Configuration()->FindService(this->own_target->service);
+  if (service != nullptr) {
+    this->cold_allowance.SetRate(service->cold_rate);
+    this->health_path = service->health_path;
+  }
+}
+
+RefusalReason MeshGate::ReasonToRefuse() const {
+  if (this->own_target == nullptr) {
+    return RefusalReason::kNotReady;
+  }
+  const bool is_leaving =
+      this->draining || this->own_target->leaving ||
+      this->view->IsEvacuated(this->own_target->data_centre);
+  return is_leaving ? RefusalReason::kDraining : RefusalReason::kNone;
+}
+
+int MeshGate::Slots() const {
+  return this->ReasonToRefuse() == RefusalReason::kNone ? this->limit : 0;
+}
+
+Awaitable<protocol::CallReply> MeshGate::Decide(
+    protocol::CallRequest request,
+    std::shared_ptr<Cancellation> cancellation) {
+  this->TakeView();
+  const TimePoint deadline =
+      this->clock.Now() +
+      std::chrono::microseconds(request.remaining_microseconds());
+  RefusalReason reason = this->ReasonToRefuse();
+  if (reason == RefusalReason::kNone) {
+    reason = co_await this->WaitForSlot(request, deadline, cancellation);
+  }
+  if (reason != RefusalReason::kNone) {
+    co_return MakeRefusedReply(reason);
+  }
+  co_return co_await this->Run(std::move(request), deadline,
+                               std::move(cancellation));
+}
+
+bool MeshGate::HasRoom(TimePoint now) {
+  return this->in_flight < this->limit &&
+         (!this->temperature.IsCold(now) || this->cold_allowance.HasRoom(now));
+}
+
+void MeshGate::StartOne(TimePoint now) {
+  ++this->in_flight;
+  this->cold_allowance.TakeSent(now);
+}
+
+Awaitable<RefusalReason> MeshGate::WaitForSlot(
+    const protocol::CallRequest& request,
+    TimePoint deadline,
+    std::shared_ptr<Cancellation> cancellation) {
+  const TimePoint now = this->clock.Now();
+  if (cancellation->IsCancelled() || now >= deadline) {
+    co_return RefusalReason::kDeadlineTooShort;
+  }
+  if (this->queue.Size() == 0 && this->HasRoom(now)) {
+    this->StartOne(now);
+    co_return RefusalReason::kNone;
+  }
+  WaitingRequest waiting;
+  waiting.id = this->next_waiter++;
+  waiting.is_root = request.is_root();
+  waiting.priority = request.priority();
+  waiting.latest_start = deadline - std::min(this->work, deadline - now);
+  if (request.is_root()) {
+    const Duration most = std::max<Duration>(
+        kLeastRootWait,
+        std::chrono::microseconds(request.objective_microseconds()) /
+            kRootWaitPart);
+    waiting.latest_start = std::min(waiting.latest_start, now + most);
+  }
+  const std::shared_ptr<Waiter> waiter =
+      std::make_shared<Waiter>(this->context);
+  this->waiters[waiting.id] = waiter;
+  const std::optional<std::uint64_t> shed = this->queue.Add(waiting);
+  if (shed) {
+    this->EndWait(*shed, RefusalReason::kShedByGate);
+  }
+  cancellation->SetAction([waiter] { waiter->wake_up.cancel(); });
+  waiter->wake_up.expires_at(waiting.latest_start);
+  this->StartQueued();
+  ErrorCode ignored;
+  if (!waiter->result) {
+    co_await waiter->wake_up.async_wait(Await(ignored));
+  }
+  cancellation->ClearAction();
+  this->waiters.erase(waiting.id);
+  if (!waiter->result) {
+    this->queue.Remove(waiting.id);
+    co_return RefusalReason::kShedByGate;
+  }
+  co_return *waiter->result;
+}
+
+void MeshGate::StartQueued() {
+  const TimePoint now = this->clock.Now();
+  std::vector<std::uint64_t> expired;
+  while (this->HasRoom(now)) {
+    const std::optional<std::uint64_t> id = this->queue.Next(now, expired);
+    if (!id) {
+      break;
+    }
+    this->StartOne(now);
+    this->EndWait(*id, RefusalReason::kNone);
+  }
+  for (const std::uint64_t id : expired) {
+    this->EndWait(id, RefusalReason::kShedByGate);
+  }
+  const bool waits_for_warmth =
+      this->queue.Size() > 0 && this->in_flight < this->limit;
+  if (waits_for_warmth && !this->pacing) {
+    this->pacing = true;
+    asio::co_spawn(this->context, this->PaceColdStart(), asio::detached);
+  }
+}
+
+Awaitable<> MeshGate::PaceColdStart() {
+  constexpr std::chrono::milliseconds least_pause{2};
+  const TimePoint now = this->clock.Now();
+  const std::optional<TimePoint> next = this->cold_allowance.NextRoom(now);
+  Timer timer(this->context,
+              std::max<TimePoint>(next.value_or(now), now + least_pause));
+  ErrorCode ignored;
+  co_await timer.async_wait(Await(ignored));
+  this->pacing = false;
+  this->StartQueued();
+}
+
+void MeshGate::EndWait(std::uint64_t id, RefusalReason result) {
+  const auto found = this->waiters.find(id);
+  if (found != this->waiters.end()) {
+    found->second->result = result;
+    found->second->wake_up.cancel();
+  }
+}
+
+Awaitable<protocol::CallReply> MeshGate::Run(
+    protocol::CallRequest request,
+    TimePoint deadline,
+    std::shared_ptr<Cancellation> cancellation) {
+  const TimePoint started = this->clock.Now();
+  TargetExchange exchange = co_await this->target.Send(
+      platform::MakeTargetRequest(request, deadline - started), deadline,
+      cancellation);
+  const TimePoint ended = this->clock.Now();
+  protocol::CallReply reply =
+      this->JudgeExchange(request.attempt_id(), exchange);
+  if (reply.outcome() == protocol::OUTCOME_ANSWERED) {
+    this->work += (ended - started - this->work) / kWorkWeight;
+  }
+  --this->in_flight;
+  this->StartQueued();
+  this->ReportTemperature();
+  reply.set_target_microseconds(ToMicroseconds(ended - started));
+  co_return reply;
+}
+
+protocol::CallReply MeshGate::JudgeExchange(const std::string& attempt_id,
+                                            TargetExchange& exchange) {
+  const TimePoint now = this->clock.Now();
+  if (exchange.connection_dropped) {
+    this->temperature.TakeRestartSign(now);
+  }
+  protocol::CallReply reply;
+  switch (exchange.end) {
+    case TargetExchange::End::kNotSent:
+      this->temperature.TakeRestartSign(now);
+      return MakeRefusedReply(RefusalReason::kTargetUnreachable);
+    case TargetExchange::End::kDeadline:
+    case TargetExchange::End::kCancelled:
+      reply = MakeRefusedReply(RefusalReason::kDeadlinePassed);
+      break;
+    case TargetExchange::End::kLost:
+    case TargetExchange::End::kAnswerTooLarge:
+      this->temperature.Doubt();
+      reply = MakeRefusedReply(RefusalReason::kAnswerLost);
+      break;
+    case TargetExchange::End::kAnswered:
+      switch (platform::JudgeAnswer(exchange.response, attempt_id)) {
+        case platform::TargetVerdict::kAnswered:
+          reply.set_outcome(protocol::OUTCOME_ANSWERED);
+          platform::MoveToReply(exchange.response, reply);
+          break;
+        case platform::TargetVerdict::kNotRun:
+          reply = MakeRefusedReply(RefusalReason::kShedByTarget);
+          break;
+        case platform::TargetVerdict::kOtherTarget:
+          this->temperature.TakeRestartSign(now);
+          reply = MakeRefusedReply(RefusalReason::kNoTarget);
+          break;
+        case platform::TargetVerdict::kSpoiled:
+          this->target.Discard(exchange);
+          reply = MakeRefusedReply(RefusalReason::kAnswerLost);
+          break;
+      }
+      break;
+  }
+  reply.set_reached_target(true);
+  return reply;
+}
+
+Awaitable<> MeshGate::CheckHealth() {
+  while (true) {
+    Timer timer(this->context, kHealthInterval);
+    ErrorCode ignored;
+    co_await timer.async_wait(Await(ignored));
+    this->TakeView();
+    const bool is_in_use = this->own_target != nullptr && !this->draining;
+    if (is_in_use && this->temperature.WantsCheck() &&
+        !this->health_path.empty()) {
+      co_await this->CheckHealthOnce();
+      this->ReportTemperature();
+      this->StartQueued();
+    }
+  }
+}
+
+Awaitable<> MeshGate::CheckHealthOnce() {
+  TargetExchange exchange = co_await this->target.Send(
+      platform::MakeHealthRequest(this->health_path),
+      this->clock.Now() + kHealthTimeout, std::make_shared<Cancellation>());
+  if (exchange.end != TargetExchange::End::kAnswered) {
+    co_return;
+  }
+  const platform::HealthAnswer answer =
+      platform::ReadHealthAnswer(exchange.response);
+  const bool is_own_target =
+      this->own_target != nullptr && answer.target_id == this->own_target->id;
+  if (is_own_target) {
+    this->temperature.TakeHealth(answer.cold_left, this->clock.Now());
+  }
+}
+
+void MeshGate::ReportTemperature() {
+  const bool is_cold = this->temperature.IsCold(this->clock.Now());
+  if (is_cold != this->reported_cold) {
+    this->reported_cold = is_cold;
+    LogEvent(is_cold ? EventId::kTargetCold : EventId::kTargetWarm,
+             {{"address", this->target_address.ToString()},
+              {"limit", static_cast<std::uint64_t>(this->limit)}});
+  }
+}
+
+boost::json::object MeshGate::Status() const {
+  return {{"in_flight", this->in_flight},
+          {"queued", this->queue.Size()},
+          {"limit", this->limit},
+          {"slots", this->Slots()},
+          {"cold", this->temperature.IsCold(this->clock.Now())},
+          {"connections", this->target.ConnectionCount()},
+          {"draining", this->draining.load()}};
+}
+
+void MeshGate::AddLoad(protocol::CallReply& reply) const {
+  protocol::GateLoad* load = reply.mutable_load();
+  load->set_in_flight(this->in_flight);
+  load->set_queued(this->queue.Size());
+  load->set_limit(this->limit);
+  load->set_cold(this->temperature.IsCold(this->clock.Now()));
+  load->set_work_microseconds(ToMicroseconds(this->work));
+}
+
+}  // namespace daisywinch
--- /dev/null
+++ b/src/node/mesh_gate.h
@@ -0,0 +1,119 @@
+#ifndef DAISYWINCH_NODE_MESH_GATE_H
+#define DAISYWINCH_NODE_MESH_GATE_H
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include <boost/json.hpp>
+
+#include "protocol/generated/peer_messages.pb.h"
+#include "state/clock.h"
+#include "state/cold_allowance.h"
+#include "state/mesh_settings.h"
+#include "state/mesh_view.h"
+#include "state/refusal.h"
+#include "state/slot_queue.h"
+#include "state/target_temperature.h"
+#include "transport/asio.h"
+#include "transport/cancellation.h"
+#include "transport/target_client.h"
+
+namespace daisywinch {
+
+/// Stands before the one target of this VM on the mesh interface: all work
+/// reaches the target here.
+///
+/// Bounds what runs at once and what a cold target gets, and queues or refuses
+/// the rest. Runs on the traffic thread.
+class MeshGate {
+ public:
+  MeshGate(asio::io_context& context,
+           const Clock& clock,
+           const MeshSettings& settings,
+           const MeshViewHolder& views);
+
+  /// Starts to ask the target for its health where that is needed.
+  void Start();
+
+  Awaitable<protocol::CallReply> Handle(
+      protocol::CallRequest request,
+      std::shared_ptr<Cancellation> cancellation);
+
+  /// Takes no new work from now on.
+  ///
+  /// Safe to call from any thread, as is CallsInProgress().
+  void Drain() { this->draining = true; }
+  int CallsInProgress() const { return this->calls_in_progress; }
+
+  /// Requests that the target may run at once; 0 while it takes none.
+  int Slots() const;
+  boost::json::object Status() const;
+
+ private:
+  /// A call that waits for a slot.
+  struct Waiter {
+    explicit Waiter(asio::io_context& context) : wake_up(context) {}
+
+    Timer wake_up;
+    /// Set when the wait is over; kNone means that the call may start.
+    std::optional<RefusalReason> result;
+  };
+
+  void TakeView();
+  /// Why the target gets no new work, or kNone.
+  RefusalReason ReasonToRefuse() const;
+  Awaitable<protocol::CallReply> Decide(
+      protocol::CallRequest request,
+      std::shared_ptr<Cancellation> cancellation);
+  Awaitable<RefusalReason> WaitForSlot(
+      const protocol::CallRequest& request,
+      TimePoint deadline,
+      std::shared_ptr<Cancellation> cancellation);
+  bool HasRoom(TimePoint now);
+  void StartOne(TimePoint now);
+  Awaitable<protocol::CallReply> Run(
+      protocol::CallRequest request,
+      TimePoint deadline,
+      std::shared_ptr<Cancellation> cancellation);
+  protocol::CallReply JudgeExchange(const std::string& attempt_id,
+                                    TargetExchange& exchange);
+  void StartQueued();
+  void EndWait(std::uint64_t id, RefusalReason result);
+  /// Starts queued calls when the cold target bears the next one.
+  Awaitable<> PaceColdStart();
+  Awaitable<> CheckHealth();
+  Awaitable<> CheckHealthOnce();
+  void ReportTemperature();
+  void AddLoad(protocol::CallReply& reply) const;
+
+  asio::io_context& context;
+  const Clock& clock;
+  Address target_address;
+  const MeshViewHolder& views;
+  std::shared_ptr<const MeshView> view;
+  /// The own target's entry; null while none is registered.
+  const MeshTarget* own_target = nullptr;
+  std::string health_path;
+  TargetClient target;
+  TargetTemperature temperature;
+  ColdAllowance cold_allowance;
+  SlotQueue queue;
+  std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
+  std::uint64_t next_waiter = 1;
+  int limit = 1;
+  int in_flight = 0;
+  bool pacing = false;
+  bool reported_cold = true;
+  /// Mean time of an answered request.
+  Duration work = Duration::zero();
+  std::atomic<int> calls_in_progress = 0;
+  std::atomic<bool> draining = false;
+};
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_NODE_MESH_GATE_H
--- /dev/null
+++ b/src/node/mesh_node.h
@@ -0,0 +1,70 @@
+#ifndef DAISYWINCH_NODE_MESH_NODE_H
+#define DAISYWINCH_NODE_MESH_NODE_H
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/signal_set.hpp>
+
+#include "coordination/mesh_directory.h"
+#include "node/gate_router.h"
+#include "node/mesh_entry.h"
+#include "node/mesh_gate.h"
+#include "node/store_watcher.h"
+#include "protocol/generated/news_messages.pb.h"
+#include "state/mesh_settings.h"
+#include "state/mesh_view.h"
+#include "transport/call_server.h"
+#include "transport/datagram_socket.h"
+#include "transport/http_server.h"
+
+namespace daisywinch {
+
+/// The process beside a target on the mesh interface.
+///
+/// The control thread follows the store, exchanges news with the other nodes
+/// and answers operators; the traffic thread is entry and gate.
+class MeshNode {
+ public:
+  explicit MeshNode(const MeshSettings& settings);
+
+  /// Runs until the process is told to stop; returns the exit status.
+  int Run();
+
+ private:
+  bool Listen();
+  void PublishView();
+  Awaitable<> ShutDownOnSignal();
+  Awaitable<> SpreadNews();
+  void SendNews(protocol::NodeNews news);
+  void TakeNews(const std::string& ip, std::string_view content);
+  Awaitable<HttpResponse> AnswerReady();
+  Awaitable<HttpResponse> AnswerOperator(HttpRequest request);
+  bool IsReady() const;
+
+  MeshSettings settings;
+  SystemClock clock;
+  std::uint64_t incarnation;
+  asio::io_context control_context{1};
+  asio::io_context traffic_context{1};
+  MeshViewHolder views;
+  MeshDirectory directory;
+  StoreWatcher watcher;
+  MeshGate gate;
+  GateRouter router;
+  MeshEntry entry;
+  HttpServer caller_server;
+  CallServer call_server;
+  HttpServer ready_server;
+  HttpServer operator_server;
+  DatagramSocket news_socket;
+  std::uint64_t news_sequence = 0;
+  asio::signal_set signals;
+  std::atomic<bool> draining = false;
+};
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_NODE_MESH_NODE_H
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -72,12 +72,16 @@
            this->snapshots,
            this->handles),
       router(this->entry_context,
-             this->entry_tls,
+             &this->entry_tls,
              this->clock,
              settings.vm,
              settings.body_limit + kFrameOverhead,
              this->gate_context,
-             this->gate),
+             [this](protocol::CallRequest request,
+                    std::shared_ptr<Cancellation> cancellation) {
+               return this->gate.Handle(std::move(request),
+                                        std::move(cancellation));
+             }),
       entry(this->entry_context,
             this->clock,
             this->settings,
@@ -94,7 +98,7 @@
                                                 std::move(cancellation));
                     }),
       call_server(this->gate_context,
-                  this->gate_tls,
+                  &this->gate_tls,
                   settings.body_limit + kFrameOverhead,
                   [this](protocol::CallRequest request,
                          std::shared_ptr<Cancellation> cancellation) {
--- /dev/null
+++ b/src/platform/attempt_messages.cc
@@ -0,0 +1,183 @@
+#include "platform/attempt_messages.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <string_view>
+#include <utility>
+
+namespace daisywinch::platform {
+
+namespace {
+
+constexpr char kAttemptId[] = "X-Daisywinch-Attempt-Id";
+constexpr char kTimeoutBudget[] = "X-Daisywinch-Timeout-Budget-Ms";
+constexpr char kExpectInstance[] = "X-Daisywinch-Expect-Instance";
+constexpr char kInstanceId[] = "X-Daisywinch-Instance-Id";
+constexpr char kTenantId[] = "X-Daisywinch-Tenant-Id";
+constexpr char kCallerService[] = "X-Daisywinch-Caller-Service";
+constexpr char kSignature[] = "X-Daisywinch-Response-Signature";
+constexpr char kNotExecuted[] = "X-Daisywinch-Not-Executed";
+// Despite its name this tells how long the target stays cold from now on.
+constexpr char kColdLeft[] = "X-Daisywinch-Cold-Start-Ms";
+constexpr char kReason[] = "X-Daisywinch-Reason";
+constexpr std::string_view kBearerPrefix = "Bearer ";
+/// Slower answers to "come back later" help nobody.
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+
+std::optional<std::int64_t> ParseNumber(std::string_view text) {
+  std::int64_t number = 0;
+  const std::from_chars_result result =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (text.empty() || result.ec != std::errc() || number < 0) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+std::string ToMilliseconds(Duration duration) {
+  const std::int64_t count =
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  return std::to_string(std::max<std::int64_t>(1, count));
+}
+
+}  // namespace
+
+AttemptHeaders ReadAttemptHeaders(const HttpRequest& request) {
+  AttemptHeaders headers;
+  headers.attempt_id = std::string(request[kAttemptId]);
+  const std::optional<std::int64_t> timeout =
+      ParseNumber(request[kTimeoutBudget]);
+  if (timeout) {
+    headers.timeout = std::chrono::milliseconds(*timeout);
+  }
+  const std::string_view value = request[http::field::authorization];
+  if (value.starts_with(kBearerPrefix)) {
+    headers.key = std::string(value.substr(kBearerPrefix.size()));
+  }
+  return headers;
+}
+
+void MoveToMessage(HttpRequest& request, protocol::CallRequest& message) {
+  message.set_method(std::string(request.method_string()));
+  message.set_path(std::string(request.target()));
+  RemoveHopByHopFields(request);
+  request.erase(http::field::authorization);
+  for (const char* name : {kAttemptId, kTimeoutBudget, kExpectInstance,
+                           kTenantId, kCallerService}) {
+    request.erase(name);
+  }
+  for (const http::fields::value_type& field : request) {
+    protocol::Header* header = message.add_headers();
+    header->set_name(std::string(field.name_string()));
+    header->set_value(std::string(field.value()));
+  }
+  message.set_body(std::move(request.body()));
+}
+
+HttpRequest MakeTargetRequest(const protocol::CallRequest& call,
+                              Duration remaining) {
+  HttpRequest request;
+  request.version(11);
+  request.method_string(call.method());
+  request.target(call.path());
+  for (const protocol::Header& header : call.headers()) {
+    request.insert(header.name(), header.value());
+  }
+  request.set(kAttemptId, call.attempt_id());
+  request.set(kTimeoutBudget, ToMilliseconds(remaining));
+  request.set(kCallerService, call.caller_service());
+  if (!call.target_id().empty()) {
+    request.set(kExpectInstance, call.target_id());
+  }
+  if (!call.customer().empty()) {
+    request.set(kTenantId, call.customer());
+  }
+  request.keep_alive(true);
+  request.body() = call.body();
+  request.prepare_payload();
+  return request;
+}
+
+TargetVerdict JudgeAnswer(const HttpResponse& response,
+                          const std::string& attempt_id) {
+  const std::string_view echoed = response[kAttemptId];
+  if (!echoed.empty() && echoed != attempt_id) {
+    return TargetVerdict::kSpoiled;
+  }
+  if (response.result() == http::status::misdirected_request) {
+    return TargetVerdict::kOtherTarget;
+  }
+  if (response.find(kNotExecuted) != response.end()) {
+    return TargetVerdict::kNotRun;
+  }
+  const int status = static_cast<int>(response.result_int());
+  const bool is_success = status >= kFirstSuccess && status < kFirstRedirect;
+  const bool is_signed = response.find(kSignature) != response.end();
+  if (is_success &&
+      (!is_signed ||
+       response.find(http::field::content_encoding) != response.end())) {
+    return TargetVerdict::kSpoiled;
+  }
+  return TargetVerdict::kAnswered;
+}
+
+void MoveToReply(HttpResponse& response, protocol::CallReply& reply) {
+  reply.set_status(response.result_int());
+  RemoveHopByHopFields(response);
+  for (const http::fields::value_type& field : response) {
+    protocol::Header* header = reply.add_headers();
+    header->set_name(std::string(field.name_string()));
+    header->set_value(std::string(field.value()));
+  }
+  reply.set_body(std::move(response.body()));
+}
+
+HttpResponse MakeCallerAnswer(protocol::CallReply& reply) {
+  HttpResponse response(static_cast<http::status>(reply.status()), 11);
+  for (const protocol::Header& header : reply.headers()) {
+    response.insert(header.name(), header.value());
+  }
+  response.body() = std::move(*reply.mutable_body());
+  response.prepare_payload();
+  return response;
+}
+
+HttpResponse MakeRefusal(unsigned status,
+                         const std::string& attempt_id,
+                         std::uint32_t reason,
+                         std::optional<Duration> retry_after) {
+  HttpResponse response(static_cast<http::status>(status), 11);
+  if (!attempt_id.empty()) {
+    response.set(kAttemptId, attempt_id);
+  }
+  response.set(kReason, std::to_string(reason));
+  if (retry_after) {
+    std::array<char, 32> text = {};
+    std::snprintf(text.data(), text.size(), "%.3f",
+                  std::chrono::duration<double>(*retry_after).count());
+    response.set(http::field::retry_after, text.data());
+  }
+  response.prepare_payload();
+  return response;
+}
+
+HttpRequest MakeHealthRequest(const std::string& health_path) {
+  HttpRequest request(http::verb::get, health_path, 11);
+  request.set(http::field::host, "health");
+  request.keep_alive(true);
+  return request;
+}
+
+HealthAnswer ReadHealthAnswer(const HttpResponse& response) {
+  HealthAnswer answer;
+  answer.is_healthy = response.result() == http::status::ok;
+  answer.target_id = std::string(response[kInstanceId]);
+  answer.cold_left =
+      std::chrono::milliseconds(ParseNumber(response[kColdLeft]).value_or(0));
+  return answer;
+}
+
+}  // namespace daisywinch::platform
--- /dev/null
+++ b/src/platform/store_calls.cc
@@ -0,0 +1,116 @@
+#include "platform/store_calls.h"
+
+#include <algorithm>
+#include <cctype>
+
+#include <openssl/evp.h>
+
+#include "state/object_reader.h"
+
+namespace daisywinch::platform {
+
+namespace {
+
+constexpr NumberRange kRevisionRange = {0, 9e15};
+
+std::string EncodeQuery(std::string_view text) {
+  constexpr std::string_view digits = "0123456789ABCDEF";
+  std::string encoded;
+  for (const char character : text) {
+    const unsigned char byte = static_cast<unsigned char>(character);
+    if (std::isalnum(byte) != 0 || character == '-' || character == '_' ||
+        character == '.' || character == '/') {
+      encoded += character;
+    } else {
+      encoded += '%';
+      encoded += digits[byte / 16];
+      encoded += digits[byte % 16];
+    }
+  }
+  return encoded;
+}
+
+HttpRequest MakeRequest(const std::string& target) {
+  return {http::verb::get, target, 11};
+}
+
+/// Decodes standard base64 with padding; empty where the text is not that.
+std::string DecodeBase64(const std::string& text) {
+  // Three bytes come of four characters, the padding included.
+  std::string bytes(text.size() / 4 * 3, '\0');
+  const int count =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                      reinterpret_cast<const unsigned char*>(text.data()),
+                      static_cast<int>(text.size()));
+  if (count < 0) {
+    return {};
+  }
+  const std::ptrdiff_t padding = std::count(
+      text.end() - std::min<std::size_t>(2, text.size()), text.end(), '=');
+  bytes.resize(count - padding);
+  return bytes;
+}
+
+StoreItem ReadItem(ObjectReader& reader) {
+  StoreItem item;
+  item.key = reader.String("Key");
+  item.revision = reader.Integer("Rev", kRevisionRange);
+  item.is_removed = reader.Boolean("Removed", false);
+  if (!item.is_removed && reader.Has("Value")) {
+    item.value = DecodeBase64(reader.String("Value", ""));
+  }
+  return item;
+}
+
+}  // namespace
+
+HttpRequest MakeRangeRequest(std::string_view prefix, std::string_view after) {
+  std::string target = "/kv-range?Prefix=" + EncodeQuery(prefix);
+  if (!after.empty()) {
+    target += "&after=" + EncodeQuery(after);
+  }
+  return MakeRequest(target);
+}
+
+HttpRequest MakeWatchRequest(std::string_view prefix,
+                             std::uint64_t after,
+                             Duration wait) {
+  const std::int64_t wait_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+  return MakeRequest("/kv-watch?Prefix=" + EncodeQuery(prefix) +
+                     "&after=" + std::to_string(after) +
+                     "&WaitMs=" + std::to_string(wait_ms));
+}
+
+std::optional<StorePage> DecodePage(const HttpResponse& response,
+                                    std::string& reason) {
+  if (response.result() != http::status::ok) {
+    reason =
+        "the store answers status " + std::to_string(response.result_int());
+    return std::nullopt;
+  }
+  FaultList faults("store answer");
+  const std::optional<boost::json::value> json =
+      ParseJson(response.body(), faults);
+  StorePage page;
+  if (json) {
+    ObjectReader reader(*json, "", faults);
+    page.store_revision = reader.Integer("StoreRevision", kRevisionRange);
+    page.has_more = reader.Boolean("HasMore", false);
+    const std::string_view list = reader.Has("events") ? "events" : "items";
+    for (ObjectReader& item : reader.Objects(list)) {
+      page.items.push_back(ReadItem(item));
+    }
+  }
+  if (!faults.empty()) {
+    reason = faults.Faults().front().ToString();
+    return std::nullopt;
+  }
+  return page;
+}
+
+bool IsHistoryGone(const HttpResponse& response) {
+  return response.result() == http::status::gone;
+}
+
+}  // namespace daisywinch::platform
--- a/src/state/event_log.cc
+++ b/src/state/event_log.cc
@@ -56,6 +56,20 @@
     EventDescription{EventId::kVersionBehind, kWarning, "version-behind",
                      "A source offered an older version than the one in "
                      "force; it is ignored."},
+    EventDescription{EventId::kTargetListed, kInformation, "target-listed",
+                     "A target registered itself or changed its entry."},
+    EventDescription{EventId::kTargetGone, kInformation, "target-gone",
+                     "The entry of a target was removed."},
+    EventDescription{EventId::kTargetRefused, kWarning, "target-refused",
+                     "An entry names no target that could be used."},
+    EventDescription{EventId::kEvacuationChanged, kInformation,
+                     "evacuation-changed",
+                     "A data centre was taken out of service or brought "
+                     "back."},
+    EventDescription{EventId::kStoreHistoryGone, kInformation,
+                     "store-history-gone",
+                     "The store no longer keeps the changes since the last "
+                     "one that was read; everything is read anew."},
     EventDescription{EventId::kPeerSuspected, kWarning, "peer-suspected",
                      "A node of the VM list stopped answering."},
     EventDescription{EventId::kPeerRestored, kInformation, "peer-restored",
@@ -101,7 +115,7 @@
   namespace expressions = boost::log::expressions;
   boost::log::add_common_attributes();
   boost::log::add_console_log(
-      std::clog,
+      std::cout,
       boost::log::keywords::format =
           expressions::stream
           << expressions::format_date_time<boost::posix_time::ptime>(
--- a/src/state/event_log.h
+++ b/src/state/event_log.h
@@ -27,6 +27,11 @@
   kPlatformUnreachable = 2005,
   kPlatformReachable = 2006,
   kVersionBehind = 2007,
+  kTargetListed = 2008,
+  kTargetGone = 2009,
+  kTargetRefused = 2010,
+  kEvacuationChanged = 2011,
+  kStoreHistoryGone = 2012,
   kPeerSuspected = 3001,
   kPeerRestored = 3002,
   kPeerRejected = 3003,
@@ -56,7 +61,7 @@
   std::string value;
 };
 
-/// Sends the log to the standard error stream.
+/// Sends the log to the standard output.
 void InitializeEventLog(Severity lowest);
 
 /// Writes one event as one line.
--- /dev/null
+++ b/src/state/gate_chooser.h
@@ -0,0 +1,84 @@
+#ifndef DAISYWINCH_STATE_GATE_CHOOSER_H
+#define DAISYWINCH_STATE_GATE_CHOOSER_H
+
+#include <cstdint>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "state/clock.h"
+#include "state/mesh_view.h"
+
+namespace daisywinch {
+
+/// What a gate says of its target with each reply.
+struct TargetLoad {
+  int in_flight = 0;
+  int queued = 0;
+  /// Requests that the target may run at once.
+  int limit = 1;
+  bool is_cold = false;
+  /// Mean time that the target takes for a request.
+  Duration work = Duration::zero();
+};
+
+/// How a call to a gate ended, as far as the choice of targets goes.
+enum class GateResult {
+  kServed,
+  /// The target answered that it failed, or spoilt its answer.
+  kFailed,
+  /// The gate could not be reached or did not answer.
+  kUnreachable,
+  /// The gate refused the call without sending it on.
+  kRefused,
+};
+
+/// Chooses the target for each call of one entry by the time that the call
+/// would take there: the target's own pace, the expected wait for a slot
+/// ("An Approximation Formula for the Queue with Multiple Servers", Sakasegawa
+/// 1977), the way to another data centre, and what lately failed.
+class GateChooser {
+ public:
+  GateChooser(std::string data_centre, std::uint64_t seed);
+
+  /// The target for a call; null if there is none outside `excluded`.
+  const MeshTarget* Choose(const MeshView& view,
+                           std::string_view service,
+                           const std::set<std::string>& excluded,
+                           TimePoint now);
+
+  void CallStarted(const std::string& target_id);
+  void CallEnded(const std::string& target_id,
+                 GateResult result,
+                 TimePoint now);
+  void TakeLoad(const std::string& target_id,
+                const TargetLoad& load,
+                TimePoint now);
+
+ private:
+  struct GateState {
+    int own_in_flight = 0;
+    /// Calls of other entries at the last report.
+    int others = 0;
+    TargetLoad load;
+    bool has_load = false;
+    TimePoint reported_at;
+    /// Part of the last calls that failed, from 0 to 1.
+    double failed_part = 0;
+    TimePoint failed_at;
+    int unreachable_in_row = 0;
+    TimePoint avoided_until;
+  };
+
+  double ExpectedSeconds(const MeshTarget& target, TimePoint now);
+
+  std::string data_centre;
+  std::mt19937_64 random;
+  std::unordered_map<std::string, GateState> states;
+};
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_STATE_GATE_CHOOSER_H
--- /dev/null
+++ b/src/state/mesh_configuration.cc
@@ -0,0 +1,77 @@
+#include "state/mesh_configuration.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "state/key_digest.h"
+
+namespace daisywinch {
+
+MeshConfiguration::MeshConfiguration(std::uint64_t version,
+                                     std::vector<MeshRoute> routes,
+                                     std::vector<MeshService> services,
+                                     std::vector<MeshCustomer> customers,
+                                     CallerLimits limits)
+    : version(version),
+      routes(std::move(routes)),
+      services(std::move(services)),
+      customers(std::move(customers)),
+      limits(limits) {
+  for (std::size_t index = 0; index < this->routes.size(); ++index) {
+    this->routes_by_host[this->routes[index].host].push_back(index);
+    this->routes_by_name[this->routes[index].name] = index;
+  }
+  for (auto& [host, indices] : this->routes_by_host) {
+    std::stable_sort(indices.begin(), indices.end(),
+                     [this](std::size_t left, std::size_t right) {
+                       return this->routes[left].prefix.size() >
+                              this->routes[right].prefix.size();
+                     });
+  }
+  for (std::size_t index = 0; index < this->services.size(); ++index) {
+    this->services_by_name[this->services[index].name] = index;
+  }
+  for (std::size_t index = 0; index < this->customers.size(); ++index) {
+    for (const std::string& digest : this->customers[index].key_digests) {
+      this->customers_by_digest[digest] = index;
+    }
+  }
+}
+
+const MeshRoute* MeshConfiguration::FindRoute(std::string_view host,
+                                              std::string_view target) const {
+  const auto found = this->routes_by_host.find(std::string(host));
+  if (found == this->routes_by_host.end()) {
+    return nullptr;
+  }
+  const std::string_view path = target.substr(0, target.find('?'));
+  for (const std::size_t index : found->second) {
+    if (path.starts_with(this->routes[index].prefix)) {
+      return &this->routes[index];
+    }
+  }
+  return nullptr;
+}
+
+const MeshRoute* MeshConfiguration::FindRouteByName(
+    std::string_view name) const {
+  const auto found = this->routes_by_name.find(std::string(name));
+  return found == this->routes_by_name.end() ? nullptr
+                                             : &this->routes[found->second];
+}
+
+const MeshService* MeshConfiguration::FindService(std::string_view name) const {
+  const auto found = this->services_by_name.find(std::string(name));
+  return found == this->services_by_name.end() ? nullptr
+                                               : &this->services[found->second];
+}
+
+const MeshCustomer* MeshConfiguration::FindCustomer(
+    std::string_view key) const {
+  const auto found = this->customers_by_digest.find(Sha256Hex(key));
+  return found == this->customers_by_digest.end()
+             ? nullptr
+             : &this->customers[found->second];
+}
+
+}  // namespace daisywinch
--- /dev/null
+++ b/src/state/mesh_settings.cc
@@ -0,0 +1,72 @@
+#include "state/mesh_settings.h"
+
+#include "state/object_reader.h"
+#include "state/time_text.h"
+
+namespace daisywinch {
+
+namespace {
+
+constexpr NumberRange kRatioRange = {0, 100};
+constexpr NumberRange kCountRange = {0, 1e6};
+
+Duration ReadTimeSpan(ObjectReader& reader, std::string_view name) {
+  const std::string text = reader.String(name);
+  const std::optional<Duration> span = ParseTimeSpan(text);
+  if (!span) {
+    reader.AddFault(name, "is not a time",
+                    "write a number and its unit, such as \"2.5s\" or "
+                    "\"200ms\"");
+  }
+  return span.value_or(Duration::zero());
+}
+
+MeshBounds ReadBounds(ObjectReader& reader) {
+  MeshBounds bounds;
+  bounds.drain = ReadTimeSpan(reader, "drain");
+  bounds.grace = ReadTimeSpan(reader, "grace");
+  bounds.retry_ratio = reader.Number("retry_ratio", kRatioRange);
+  bounds.retry_slack = reader.Number("retry_slack", kCountRange);
+  bounds.retry_window = ReadTimeSpan(reader, "retry_window");
+  bounds.quota_window = ReadTimeSpan(reader, "quota_window");
+  bounds.quota_over = reader.Number("quota_over", kRatioRange);
+  bounds.quota_slack = reader.Number("quota_slack", kCountRange);
+  bounds.cold_over = reader.Number("cold_over", kRatioRange);
+  return bounds;
+}
+
+}  // namespace
+
+std::optional<MeshSettings> ReadMeshSettings(const boost::json::value& json,
+                                             FaultList& faults) {
+  MeshSettings settings;
+  ObjectReader reader(json, "", faults);
+  const std::string interface = reader.String("interface");
+  if (interface != kMeshInterface) {
+    reader.AddFault("interface", "is not known",
+                    "write \"mesh\", or leave the field out for the handle "
+                    "interface");
+  }
+  settings.vm = reader.String("vm");
+  settings.data_centre = reader.String("data_centre");
+  settings.service = reader.String("service");
+  settings.caller_address = ReadAddress(reader, "caller_address");
+  settings.peer_address = ReadAddress(reader, "peer_address");
+  settings.ready_address = ReadAddress(reader, "ready_address");
+  settings.news_address = ReadAddress(reader, "news_address");
+  settings.operator_address = ReadAddress(reader, "operator_address");
+  settings.target_address = ReadAddress(reader, "target_address");
+  settings.platform_address = ReadAddress(reader, "platform_address");
+  settings.ip = settings.peer_address.ip;
+  settings.first_start = reader.Boolean("first_start", false);
+  ObjectReader bounds_reader = reader.Object("bounds");
+  settings.bounds = ReadBounds(bounds_reader);
+  bounds_reader.ReportUnknownFields();
+  reader.ReportUnknownFields();
+  if (!faults.empty()) {
+    return std::nullopt;
+  }
+  return settings;
+}
+
+}  // namespace daisywinch
--- /dev/null
+++ b/src/state/mesh_view.h
@@ -0,0 +1,79 @@
+#ifndef DAISYWINCH_STATE_MESH_VIEW_H
+#define DAISYWINCH_STATE_MESH_VIEW_H
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "state/clock.h"
+#include "state/mesh_configuration.h"
+#include "state/published.h"
+#include "state/settings.h"
+
+namespace daisywinch {
+
+/// One run of a target as it has registered itself.
+struct MeshTarget {
+  /// Names this target; a target that starts again may keep its id.
+  std::string id;
+  Address address;
+  std::string service;
+  std::string data_centre;
+  /// Requests that the target runs at once.
+  int slots = 1;
+  bool leaving = false;
+  /// How long the target stays cold, as it said at its last change.
+  Duration cold_left = Duration::zero();
+  /// Unix time in milliseconds at which this run started; 0 if unknown.
+  std::int64_t born = 0;
+
+  friend bool operator==(const MeshTarget&, const MeshTarget&) = default;
+};
+
+/// Everything that the traffic thread decides by; never changes once
+/// published.
+class MeshView {
+ public:
+  MeshView(std::shared_ptr<const MeshConfiguration> configuration,
+           std::map<std::string, MeshTarget> targets,
+           std::set<std::string> evacuated);
+
+  // The index points into the targets.
+  MeshView(const MeshView&) = delete;
+  MeshView& operator=(const MeshView&) = delete;
+
+  /// Null as long as none was read.
+  const std::shared_ptr<const MeshConfiguration>& Configuration() const {
+    return this->configuration;
+  }
+  const std::map<std::string, MeshTarget>& Targets() const {
+    return this->targets;
+  }
+
+  /// Targets of a service that may be given new work: not leaving, and in a
+  /// data centre that is in service.
+  const std::vector<const MeshTarget*>& Usable(std::string_view service) const;
+  /// The target at an address; null if none is registered there. Of several,
+  /// the youngest.
+  const MeshTarget* FindAt(const Address& address) const;
+  bool IsEvacuated(std::string_view data_centre) const;
+  /// IP numbers of all VMs on which targets are registered.
+  std::set<std::string> VmAddresses() const;
+
+ private:
+  std::shared_ptr<const MeshConfiguration> configuration;
+  std::map<std::string, MeshTarget> targets;
+  std::set<std::string, std::less<>> evacuated;
+  std::map<std::string, std::vector<const MeshTarget*>, std::less<>> usable;
+};
+
+using MeshViewHolder = Published<MeshView>;
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_STATE_MESH_VIEW_H
--- a/src/state/object_reader.cc
+++ b/src/state/object_reader.cc
@@ -207,6 +207,40 @@
   return strings;
 }
 
+ObjectReader ObjectReader::Object(std::string_view name) {
+  static const boost::json::value empty = boost::json::object();
+  const boost::json::value* value = this->Find(name, true);
+  return {value == nullptr ? empty : *value, this->PointerTo(name),
+          *this->faults};
+}
+
+std::vector<std::pair<std::string, ObjectReader>> ObjectReader::Table(
+    std::string_view name) {
+  std::vector<std::pair<std::string, ObjectReader>> readers;
+  const boost::json::value* value = this->Find(name, false);
+  if (value == nullptr) {
+    return readers;
+  }
+  if (!value->is_object()) {
+    this->AddFault(name, "is not an object",
+                   "write an object with a field for each name");
+    return readers;
+  }
+  for (const boost::json::key_value_pair& field : value->get_object()) {
+    const std::string key(field.key());
+    readers.emplace_back(
+        key, ObjectReader(field.value(),
+                          this->PointerTo(name) + "/" + EscapePointerToken(key),
+                          *this->faults));
+  }
+  return readers;
+}
+
+bool ObjectReader::Has(std::string_view name) const {
+  return this->object != nullptr &&
+         this->object->if_contains({name.data(), name.size()}) != nullptr;
+}
+
 std::vector<ObjectReader> ObjectReader::Objects(std::string_view name) {
   std::vector<ObjectReader> readers;
   const boost::json::value* value = this->Find(name, true);
--- a/src/state/object_reader.h
+++ b/src/state/object_reader.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <boost/json.hpp>
@@ -48,6 +49,12 @@
                        std::int64_t fallback);
   bool Boolean(std::string_view name, bool fallback);
   std::vector<std::string> Strings(std::string_view name);
+  /// Reader of an object in a field that must be present.
+  ObjectReader Object(std::string_view name);
+  /// Readers of the objects that stand under names of their own in the object
+  /// of a field; without the field there are none.
+  std::vector<std::pair<std::string, ObjectReader>> Table(
+      std::string_view name);
   /// Readers of the objects in an array; the field must be present.
   std::vector<ObjectReader> Objects(std::string_view name);
 
@@ -56,6 +63,7 @@
                 std::string_view problem,
                 std::string_view remedy);
   void ReportUnknownFields();
+  bool Has(std::string_view name) const;
 
   const std::string& Pointer() const { return this->pointer; }
 
--- a/src/state/snapshot.h
+++ b/src/state/snapshot.h
@@ -2,7 +2,6 @@
 #define DAISYWINCH_STATE_SNAPSHOT_H
 
 #include <memory>
-#include <mutex>
 #include <set>
 #include <string>
 #include <string_view>
@@ -11,6 +10,7 @@
 
 #include "state/configuration.h"
 #include "state/key_table.h"
+#include "state/published.h"
 #include "state/route_table.h"
 #include "state/vm_list.h"
 
@@ -50,24 +50,7 @@
 };
 
 /// Hands the newest snapshot from the control thread to traffic threads.
-///
-/// The lock is held for the copy of a pointer only. (The atomic shared pointer
-/// of libstdc++ 12 reads without the ordering that a reader needs.)
-class SnapshotHolder {
- public:
-  std::shared_ptr<const Snapshot> Load() const {
-    const std::lock_guard lock(this->mutex);
-    return this->current;
-  }
-  void Publish(std::shared_ptr<const Snapshot> next) {
-    const std::lock_guard lock(this->mutex);
-    this->current.swap(next);
-  }
-
- private:
-  mutable std::mutex mutex;
-  std::shared_ptr<const Snapshot> current;
-};
+using SnapshotHolder = Published<Snapshot>;
 
 }  // namespace daisywinch
 
--- a/src/transport/call_client.cc
+++ b/src/transport/call_client.cc
@@ -25,7 +25,7 @@
 }
 
 CallClient::CallClient(asio::io_context& context,
-                       asio::ssl::context& tls,
+                       asio::ssl::context* tls,
                        const Clock& clock,
                        const Address& address,
                        std::size_t size_limit)
--- a/src/transport/call_client.h
+++ b/src/transport/call_client.h
@@ -24,7 +24,7 @@
 class CallClient : public std::enable_shared_from_this<CallClient> {
  public:
   CallClient(asio::io_context& context,
-             asio::ssl::context& tls,
+             asio::ssl::context* tls,
              const Clock& clock,
              const Address& address,
              std::size_t size_limit);
@@ -64,7 +64,7 @@
   void FailPendingCalls();
 
   asio::io_context& context;
-  asio::ssl::context& tls;
+  asio::ssl::context* tls;
   const Clock& clock;
   Address address;
   std::size_t size_limit;
--- a/src/transport/call_server.cc
+++ b/src/transport/call_server.cc
@@ -19,7 +19,7 @@
 }  // namespace
 
 CallServer::CallServer(asio::io_context& context,
-                       asio::ssl::context& tls,
+                       asio::ssl::context* tls,
                        std::size_t size_limit,
                        Handler handler)
     : context(context),
--- a/src/transport/call_server.h
+++ b/src/transport/call_server.h
@@ -22,7 +22,7 @@
       std::shared_ptr<Cancellation>)>;
 
   CallServer(asio::io_context& context,
-             asio::ssl::context& tls,
+             asio::ssl::context* tls,
              std::size_t size_limit,
              Handler handler);
 
@@ -54,7 +54,7 @@
                      protocol::CallRequest request);
 
   asio::io_context& context;
-  asio::ssl::context& tls;
+  asio::ssl::context* tls;
   std::size_t size_limit;
   Handler handler;
   Tcp::acceptor acceptor;
--- a/src/transport/frame_stream.cc
+++ b/src/transport/frame_stream.cc
@@ -10,14 +10,20 @@
 namespace daisywinch {
 
 FrameStream::FrameStream(asio::io_context& context,
-                         asio::ssl::context& tls,
+                         asio::ssl::context* tls,
                          std::size_t size_limit)
-    : socket(context, tls), decoder(size_limit) {}
+    : FrameStream(Tcp::socket(context), tls, size_limit) {}
 
 FrameStream::FrameStream(Tcp::socket socket,
-                         asio::ssl::context& tls,
+                         asio::ssl::context* tls,
                          std::size_t size_limit)
-    : socket(std::move(socket), tls), decoder(size_limit) {}
+    : socket(std::move(socket)),
+      last_received(BootTime::now()),
+      decoder(size_limit) {
+  if (tls != nullptr) {
+    this->tls_stream = std::make_unique<TlsStream>(this->socket, *tls);
+  }
+}
 
 Awaitable<bool> FrameStream::Connect(Address address, Duration timeout) {
   const std::shared_ptr<Timer> guard =
@@ -26,8 +32,7 @@
                  this->CloseAfter(this->shared_from_this(), guard),
                  asio::detached);
   ErrorCode error;
-  co_await this->socket.lowest_layer().async_connect(ToEndpoint(address),
-                                                     Await(error));
+  co_await this->socket.async_connect(ToEndpoint(address), Await(error));
   guard->cancel();
   if (error) {
     this->Close();
@@ -49,8 +54,10 @@
                  this->CloseAfter(this->shared_from_this(), guard),
                  asio::detached);
   ErrorCode error;
-  this->socket.lowest_layer().set_option(Tcp::no_delay(true), error);
-  co_await this->socket.async_handshake(type, Await(error));
+  this->socket.set_option(Tcp::no_delay(true), error);
+  if (this->tls_stream) {
+    co_await this->tls_stream->async_handshake(type, Await(error));
+  }
   guard->cancel();
   if (error) {
     this->Close();
@@ -78,11 +85,18 @@
       break;
     }
     ErrorCode error;
-    const std::size_t count = co_await this->socket.async_read_some(
-        asio::buffer(this->read_buffer), Await(error));
+    std::size_t count = 0;
+    if (this->tls_stream) {
+      count = co_await this->tls_stream->async_read_some(
+          asio::buffer(this->read_buffer), Await(error));
+    } else {
+      count = co_await this->socket.async_read_some(
+          asio::buffer(this->read_buffer), Await(error));
+    }
     if (error) {
       break;
     }
+    this->last_received = BootTime::now();
     this->decoder.Append({this->read_buffer.data(), count});
   }
   this->Close();
@@ -117,7 +131,13 @@
       }
     }
     ErrorCode error;
-    co_await asio::async_write(this->socket, asio::buffer(bytes), Await(error));
+    if (this->tls_stream) {
+      co_await asio::async_write(*this->tls_stream, asio::buffer(bytes),
+                                 Await(error));
+    } else {
+      co_await asio::async_write(this->socket, asio::buffer(bytes),
+                                 Await(error));
+    }
     Finish(frames);
     if (error) {
       this->Close();
@@ -141,7 +161,7 @@
   this->closed = true;
   Finish(std::exchange(this->queue, {}));
   ErrorCode ignored;
-  this->socket.lowest_layer().close(ignored);
+  this->socket.close(ignored);
 }
 
 }  // namespace daisywinch
--- a/src/transport/frame_stream.h
+++ b/src/transport/frame_stream.h
@@ -15,19 +15,21 @@
 
 namespace daisywinch {
 
-/// A connection between two nodes that carries frames both ways under TLS.
+/// A connection between two nodes that carries frames both ways, under TLS
+/// where the fleet has a secret.
 ///
 /// Frames queued while one is being written go out together. Runs on the
 /// thread of its context.
 class FrameStream : public std::enable_shared_from_this<FrameStream> {
  public:
-  using Socket = asio::ssl::stream<Tcp::socket>;
+  using TlsStream = asio::ssl::stream<Tcp::socket&>;
 
+  /// `tls` is null for a connection in the clear.
   FrameStream(asio::io_context& context,
-              asio::ssl::context& tls,
+              asio::ssl::context* tls,
               std::size_t size_limit);
   FrameStream(Tcp::socket socket,
-              asio::ssl::context& tls,
+              asio::ssl::context* tls,
               std::size_t size_limit);
 
   /// Connects and proves the fleet's secret within the timeout.
@@ -49,6 +51,9 @@
   void Close();
   bool IsClosed() const { return this->closed; }
 
+  /// Time at which the last bytes came.
+  TimePoint LastReceived() const { return this->last_received; }
+
  private:
   struct QueuedFrame {
     std::string bytes;
@@ -64,7 +69,9 @@
   Awaitable<> CloseAfter(std::shared_ptr<FrameStream> self,
                          std::shared_ptr<Timer> guard);
 
-  Socket socket;
+  Tcp::socket socket;
+  std::unique_ptr<TlsStream> tls_stream;
+  TimePoint last_received;
   FrameDecoder decoder;
   std::deque<QueuedFrame> queue;
   std::array<char, 16 * 1024> read_buffer = {};
--- a/src/transport/http_fetch.cc
+++ b/src/transport/http_fetch.cc
@@ -7,6 +7,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include "transport/probe_silence.h"
+
 namespace daisywinch {
 
 Awaitable<std::optional<HttpResponse>> Fetch(asio::io_context& context,
@@ -20,6 +22,9 @@
   if (error) {
     co_return std::nullopt;
   }
+  if (limits.probe_silence) {
+    ProbeSilence(stream.socket());
+  }
   request.set(http::field::host, address.ToString());
   request.prepare_payload();
   co_await http::async_write(stream, request, Await(error));
--- /dev/null
+++ b/src/transport/probe_silence.h
@@ -0,0 +1,14 @@
+#ifndef DAISYWINCH_TRANSPORT_PROBE_SILENCE_H
+#define DAISYWINCH_TRANSPORT_PROBE_SILENCE_H
+
+#include "transport/asio.h"
+
+namespace daisywinch {
+
+/// Ends a connection whose other side no longer answers within about three
+/// seconds, by keep-alive probes and a limit on unacknowledged data.
+void ProbeSilence(Tcp::socket& socket);
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_TRANSPORT_PROBE_SILENCE_H
--- a/src/transport/target_client.cc
+++ b/src/transport/target_client.cc
@@ -2,7 +2,10 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
+#include <charconv>
+#include <string_view>
 #include <utility>
 
 #include <boost/beast/core/error.hpp>
@@ -13,6 +16,27 @@
 
 using End = TargetExchange::End;
 
+/// Time before the announced end of an idle connection at which it is no
+/// longer used: a request must not cross the target's close.
+constexpr std::chrono::milliseconds kIdleMargin{1000};
+
+/// The idle time that a target states in seconds, "timeout=10"; the longest
+/// time if it states none.
+Duration IdleLimitOf(const HttpResponse& response) {
+  constexpr std::string_view name = "timeout=";
+  const std::string_view text = response[http::field::keep_alive];
+  const std::size_t start = text.find(name);
+  if (start == std::string_view::npos) {
+    return Duration::max();
+  }
+  int seconds = 0;
+  const char* first = text.data() + start + name.size();
+  const std::from_chars_result result =
+      std::from_chars(first, text.data() + text.size(), seconds);
+  return result.ec == std::errc() ? Duration(std::chrono::seconds(seconds))
+                                  : Duration::max();
+}
+
 /// Whether the other side closed an idle connection or sent unasked bytes.
 bool IsStale(Tcp::socket& socket) {
   char byte = 0;
@@ -67,10 +91,15 @@
                             exchange);
   }
   cancellation->ClearAction();
-  const bool reusable =
-      exchange.end == End::kAnswered && exchange.response.keep_alive();
+  // Bytes beyond the answer belong to no request.
+  const bool reusable = exchange.end == End::kAnswered &&
+                        exchange.response.keep_alive() &&
+                        connection->buffer.size() == 0;
   if (reusable) {
     connection->stream.expires_never();
+    connection->idle_since = BootTime::now();
+    connection->idle_limit = IdleLimitOf(exchange.response);
+    exchange.connection = connection;
     this->idle.push_front(connection);
   } else {
     connection->stream.close();
@@ -110,16 +139,32 @@
   while (!this->idle.empty()) {
     std::shared_ptr<Connection> connection = this->idle.front();
     this->idle.pop_front();
-    if (!IsStale(connection->stream.socket())) {
+    const Duration idle = BootTime::now() - connection->idle_since;
+    const bool is_due = idle > connection->idle_limit - kIdleMargin;
+    if (!is_due && !IsStale(connection->stream.socket())) {
       return connection;
     }
-    exchange.connection_dropped = true;
+    exchange.connection_dropped |= !is_due;
     connection->stream.close();
     --this->connection_count;
   }
   return nullptr;
 }
 
+void TargetClient::Discard(TargetExchange& exchange) {
+  const std::shared_ptr<void> discarded = exchange.connection.lock();
+  const auto found =
+      std::find_if(this->idle.begin(), this->idle.end(),
+                   [&discarded](const std::shared_ptr<Connection>& connection) {
+                     return discarded != nullptr && connection == discarded;
+                   });
+  if (found != this->idle.end()) {
+    (*found)->stream.close();
+    --this->connection_count;
+    this->idle.erase(found);
+  }
+}
+
 void TargetClient::CloseIdleConnections() {
   for (const std::shared_ptr<Connection>& connection : this->idle) {
     connection->stream.close();
--- a/src/transport/target_client.h
+++ b/src/transport/target_client.h
@@ -29,8 +29,11 @@
 
   End end = End::kNotSent;
   HttpResponse response;
-  /// The target closed connections that were idle, or refused a new one.
+  /// The target closed connections before their idle time, or refused a new
+  /// one.
   bool connection_dropped = false;
+  /// Names the connection for Discard().
+  std::weak_ptr<void> connection;
 };
 
 /// Sends requests to the target beside this node over pooled connections.
@@ -47,6 +50,9 @@
                                  TimePoint deadline,
                                  std::shared_ptr<Cancellation> cancellation);
 
+  /// Drops the connection of the last exchange: what came on it was no answer.
+  void Discard(TargetExchange& exchange);
+
   /// Open connections, idle ones included.
   int ConnectionCount() const { return this->connection_count; }
   void CloseIdleConnections();
@@ -57,6 +63,9 @@
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
+    TimePoint idle_since;
+    /// Time after which the target closes the idle connection.
+    Duration idle_limit = Duration::max();
   };
 
   /// Takes an idle connection that the target has not closed.
--- a/tests/end_to_end/fleet_test.cc
+++ b/tests/end_to_end/fleet_test.cc
@@ -68,7 +68,7 @@
   asio::ssl::context tls = MakePskContext(secret);
   const SystemClock clock;
   const std::shared_ptr<CallClient> client = std::make_shared<CallClient>(
-      context, tls, clock, vm.peer, std::size_t{1} << 20);
+      context, &tls, clock, vm.peer, std::size_t{1} << 20);
   protocol::CallRequest request;
   request.set_route("look-up");
   request.set_customer("school");
