Decide overload at the root, by what a whole call tree takes

Each node learns what its routes call (TreeDemand), tells it with its news, and admits the part of each kind of root that fits (FleetLoad, AdmittedParts). CallClient confirms a silent peer before it sends. Shares are reckoned from demand as told. A call leaves its data centre only for a part of its objective.

--- /dev/null
+++ b/src/coordination/fleet_load.h
@@ -0,0 +1,68 @@
+#ifndef DAISYWINCH_COORDINATION_FLEET_LOAD_H
+#define DAISYWINCH_COORDINATION_FLEET_LOAD_H
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "state/clock.h"
+#include "state/mesh_configuration.h"
+#include "state/root_admission.h"
+#include "state/tree_demand.h"
+
+namespace daisywinch {
+
+/// What one node tells of the load that it sees.
+struct NodeLoad {
+  /// Service of the target beside the node.
+  std::string service;
+  /// Requests that the target may run at once; 0 while it takes none.
+  double slots = 0;
+  /// Waiting requests for each slot, averaged.
+  double waiting = 0;
+  std::vector<RouteCost> costs;
+  /// Roots that the node was asked for, in requests per second.
+  std::map<RootKind, double> roots;
+};
+
+/// The load of the whole fleet, put together from what the nodes tell.
+///
+/// Follows the calls of each root through the routes to what its whole tree
+/// takes of every service, and compares that with the services' slots.
+class FleetLoad {
+ public:
+  void Take(const std::string& node, const NodeLoad& load, TimePoint now);
+
+  /// The part of each kind of root to admit, for the configuration's routes.
+  std::map<RootKind, double> AdmittedParts(
+      const MeshConfiguration& configuration,
+      TimePoint now) const;
+
+  /// What the tree of a root takes of each service, in slot-seconds.
+  std::map<std::string, double> TreeCost(const MeshConfiguration& configuration,
+                                         const std::string& route,
+                                         TimePoint now) const;
+
+ private:
+  struct HeardLoad {
+    NodeLoad load;
+    TimePoint heard_at;
+  };
+
+  /// Mean costs by route over all nodes that run it.
+  using CostTable = std::map<std::string, RouteCost>;
+
+  CostTable MeanCosts(TimePoint now) const;
+  static void AddCost(const MeshConfiguration& configuration,
+                      const CostTable& costs,
+                      const std::string& route,
+                      double runs,
+                      int depth,
+                      std::map<std::string, double>& sums);
+
+  std::map<std::string, HeardLoad> nodes;
+};
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_COORDINATION_FLEET_LOAD_H
--- a/src/node/mesh_entry.cc
+++ b/src/node/mesh_entry.cc
@@ -31,6 +31,9 @@
 /// Time after which a node that knows nothing yet is asked again.
 constexpr Duration kNotReadyReturn = std::chrono::milliseconds(400);
 
+/// Time between two computations of what is admitted.
+constexpr std::chrono::milliseconds kAdmissionInterval{100};
+
 RequestClass ClassOf(std::uint32_t priority) {
   return static_cast<RequestClass>(
       std::min<std::uint32_t>(priority, kRequestClassCount - 1));
@@ -42,6 +45,11 @@
       std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
 }
 
+Duration ObjectiveOf(const MeshRoute& route) {
+  return route.objective > Duration::zero() ? route.objective
+                                            : kUnknownObjective;
+}
+
 GateResult ResultOf(const protocol::CallReply& reply) {
   if (reply.outcome() == protocol::OUTCOME_ANSWERED) {
     return reply.status() >= kServerError ? GateResult::kFailed
@@ -64,15 +72,18 @@
                      const MeshSettings& settings,
                      std::uint64_t seed,
                      const MeshViewHolder& views,
+                     TreeDemand& demand,
                      CallSender& sender)
     : clock(clock),
       service(settings.service),
+      ip(settings.ip),
       peer_address(settings.peer_address),
       bounds(settings.bounds),
       views(views),
       sender(sender),
       chooser(settings.data_centre, seed),
       shares(settings.bounds),
+      demand(demand),
       random(seed) {}
 
 Awaitable<HttpResponse> MeshEntry::Handle(
@@ -150,6 +161,11 @@
       !this->shares.Take(call.customer, call.started)) {
     return RefusalReason::kOverRate;
   }
+  if (!call.is_root) {
+    this->demand.OnwardCall(call.route->name, call.started);
+  } else if (!this->TakeRoot(call)) {
+    return RefusalReason::kShedByEntry;
+  }
   call.service = this->splitter.Choose(*call.route);
   protocol::CallRequest& message = call.message;
   message.set_route(call.route->name);
@@ -174,8 +190,10 @@
   while (true) {
     this->TakeView();
     const std::shared_ptr<const MeshView> kept = this->view;
-    const MeshTarget* target =
-        this->chooser.Choose(*kept, call.service, tried, this->clock.Now());
+    const MeshTarget* target = this->chooser.Choose(
+        *kept, call.service, tried,
+        call.started + ObjectiveOf(*call.route) - this->clock.Now(),
+        this->clock.Now());
     if (target == nullptr) {
       co_return reply;
     }
@@ -206,11 +224,8 @@
   protocol::CallRequest message = call.message;
   const std::string target_id = target.id;
   message.set_target_id(target_id);
-  const Duration objective = call.route->objective > Duration::zero()
-                                 ? call.route->objective
-                                 : kUnknownObjective;
-  message.set_objective_microseconds(
-      ToMicroseconds(call.started + objective - this->clock.Now()));
+  message.set_objective_microseconds(ToMicroseconds(
+      call.started + ObjectiveOf(*call.route) - this->clock.Now()));
   Vm vm;
   vm.name = target.address.ip;
   vm.peer_address = {target.address.ip, this->peer_address.port};
@@ -282,16 +297,50 @@
   if (reason == RefusalReason::kNotReady || call.route == nullptr) {
     return kNotReadyReturn;
   }
-  const Duration objective = call.route->objective > Duration::zero()
-                                 ? call.route->objective
-                                 : kUnknownObjective;
+  const Duration objective = ObjectiveOf(*call.route);
   std::uniform_real_distribution<double> part(kEarliestReturn, kLatestReturn);
   return std::chrono::duration_cast<Duration>(objective * part(this->random));
 }
 
-void MeshEntry::TakeNews(const std::string& node,
-                         const std::map<std::string, double>& demand) {
-  this->shares.TakeNews(node, demand, this->clock.Now());
+void MeshEntry::TakeNews(const std::string& node, const TrafficNews& news) {
+  const TimePoint now = this->clock.Now();
+  this->shares.TakeNews(node, news.customers, now);
+  this->fleet_load.Take(node, news.load, now);
+}
+
+TrafficNews MeshEntry::TellNews(NodeLoad load) {
+  constexpr double least_rate = 0.05;
+  const TimePoint now = this->clock.Now();
+  for (const auto& [kind, rate] : this->root_rates) {
+    if (rate.PerSecond(now) >= least_rate) {
+      load.roots[kind] = rate.PerSecond(now);
+    }
+  }
+  load.service = this->service;
+  load.costs = this->demand.Costs(now);
+  this->fleet_load.Take(this->ip, load, now);
+  return {this->shares.TellOwnDemand(now), std::move(load)};
+}
+
+bool MeshEntry::TakeRoot(const Call& call) {
+  const RootKind kind = {call.route->name, call.priority};
+  this->root_rates[kind].Add(1, call.started);
+  if (call.started - this->parts_computed_at >= kAdmissionInterval) {
+    this->parts_computed_at = call.started;
+    this->admitted_parts =
+        this->fleet_load.AdmittedParts(*call.configuration, call.started);
+  }
+  const auto part = this->admitted_parts.find(kind);
+  if (part == this->admitted_parts.end() || part->second >= 1) {
+    return true;
+  }
+  double& credit = this->root_credits[kind];
+  credit += part->second;
+  if (credit < 1) {
+    return false;
+  }
+  credit -= 1;
+  return true;
 }
 
 void MeshEntry::Record(const Call& call,
--- a/src/node/mesh_entry.h
+++ b/src/node/mesh_entry.h
@@ -10,9 +10,11 @@
 #include <string>
 #include <unordered_map>
 
+#include "coordination/fleet_load.h"
 #include "node/call_metrics.h"
 #include "node/call_sender.h"
 #include "platform/attempt_messages.h"
+#include "protocol/news_codec.h"
 #include "state/clock.h"
 #include "state/customer_shares.h"
 #include "state/gate_chooser.h"
@@ -21,6 +23,7 @@
 #include "state/part_splitter.h"
 #include "state/refusal.h"
 #include "state/retry_budget.h"
+#include "state/tree_demand.h"
 #include "transport/asio.h"
 #include "transport/cancellation.h"
 #include "transport/http.h"
@@ -38,17 +41,16 @@
             const MeshSettings& settings,
             std::uint64_t seed,
             const MeshViewHolder& views,
+            TreeDemand& demand,
             CallSender& sender);
 
   Awaitable<HttpResponse> Handle(HttpRequest request,
                                  std::shared_ptr<Cancellation> cancellation);
 
-  /// Takes what customers ask of another node.
-  void TakeNews(const std::string& node,
-                const std::map<std::string, double>& demand);
-  std::map<std::string, double> OwnDemand() const {
-    return this->shares.OwnDemand(this->clock.Now());
-  }
+  /// Takes what another node tells of its traffic.
+  void TakeNews(const std::string& node, const TrafficNews& news);
+  /// Completes what this node tells: `load` holds what its gate sees.
+  TrafficNews TellNews(NodeLoad load);
 
   const CallMetrics& Metrics() const { return this->metrics; }
 
@@ -81,6 +83,8 @@
   bool MaySendAgain(const Call& call,
                     const protocol::CallReply& reply,
                     int targets_reached);
+  /// Admits the part of the roots of its kind that fits; see FleetLoad.
+  bool TakeRoot(const Call& call);
   RetryBudget& RetriesOf(const std::string& service);
   HttpResponse MakeAnswer(const Call& call, protocol::CallReply reply);
   HttpResponse MakeRefusal(const Call& call,
@@ -91,6 +95,7 @@
 
   const Clock& clock;
   std::string service;
+  std::string ip;
   Address peer_address;
   MeshBounds bounds;
   const MeshViewHolder& views;
@@ -100,6 +105,14 @@
   GateChooser chooser;
   PartSplitter splitter;
   CustomerShares shares;
+  TreeDemand& demand;
+  FleetLoad fleet_load;
+  /// Roots that callers asked for, by kind.
+  std::map<RootKind, DecayedRate> root_rates;
+  std::map<RootKind, double> admitted_parts;
+  /// Admission owed to each kind; a root is admitted when it reaches 1.
+  std::map<RootKind, double> root_credits;
+  TimePoint parts_computed_at;
   std::unordered_map<std::string, RetryBudget> retries;
   CallMetrics metrics;
   std::mt19937_64 random;
--- a/src/node/mesh_gate.cc
+++ b/src/node/mesh_gate.cc
@@ -16,6 +16,7 @@
 namespace {
 
 /// Largest answer of a target in bytes; the platform's largest body.
+constexpr std::uint32_t kServerError = 500;
 constexpr std::uint64_t kBodyLimit = 64ULL * 1024 * 1024;
 /// Part of a target's slots that is used: nearly full targets turn slow.
 constexpr double kUsedSlots = 0.95;
@@ -29,6 +30,8 @@
 constexpr std::chrono::milliseconds kHealthTimeout{1000};
 /// Weight of one request in the mean time of requests.
 constexpr int kWorkWeight = 16;
+/// Weight of one call in the mean number of waiting requests.
+constexpr double kWaitingWeight = 0.03;
 constexpr Duration kInitialWork = std::chrono::milliseconds(50);
 
 std::uint64_t ToMicroseconds(Duration duration) {
@@ -42,11 +45,13 @@
 MeshGate::MeshGate(asio::io_context& context,
                    const Clock& clock,
                    const MeshSettings& settings,
-                   const MeshViewHolder& views)
+                   const MeshViewHolder& views,
+                   TreeDemand& demand)
     : context(context),
       clock(clock),
       target_address(settings.target_address),
       views(views),
+      demand(demand),
       target(context, settings.target_address, kBodyLimit),
       queue(1),
       work(kInitialWork) {}
@@ -147,6 +152,9 @@
     TimePoint deadline,
     std::shared_ptr<Cancellation> cancellation) {
   const TimePoint now = this->clock.Now();
+  this->waiting +=
+      kWaitingWeight *
+      (static_cast<double>(this->queue.Size()) / this->limit - this->waiting);
   if (cancellation->IsCancelled() || now >= deadline) {
     co_return RefusalReason::kDeadlineTooShort;
   }
@@ -236,6 +244,8 @@
     TimePoint deadline,
     std::shared_ptr<Cancellation> cancellation) {
   const TimePoint started = this->clock.Now();
+  const std::string route = request.route();
+  this->demand.RunStarted(route, started);
   TargetExchange exchange = co_await this->target.Send(
       platform::MakeTargetRequest(request, deadline - started), deadline,
       cancellation);
@@ -245,6 +255,9 @@
   if (reply.outcome() == protocol::OUTCOME_ANSWERED) {
     this->work += (ended - started - this->work) / kWorkWeight;
   }
+  const bool has_failed = reply.outcome() != protocol::OUTCOME_ANSWERED ||
+                          reply.status() >= kServerError;
+  this->demand.RunEnded(route, ended - started, has_failed, ended);
   --this->in_flight;
   this->StartQueued();
   this->ReportTemperature();
--- a/src/node/mesh_gate.h
+++ b/src/node/mesh_gate.h
@@ -18,6 +18,7 @@
 #include "state/refusal.h"
 #include "state/slot_queue.h"
 #include "state/target_temperature.h"
+#include "state/tree_demand.h"
 #include "transport/asio.h"
 #include "transport/cancellation.h"
 #include "transport/target_client.h"
@@ -34,7 +35,8 @@
   MeshGate(asio::io_context& context,
            const Clock& clock,
            const MeshSettings& settings,
-           const MeshViewHolder& views);
+           const MeshViewHolder& views,
+           TreeDemand& demand);
 
   /// Starts to ask the target for its health where that is needed.
   void Start();
@@ -51,6 +53,8 @@
 
   /// Requests that the target may run at once; 0 while it takes none.
   int Slots() const;
+  /// Waiting requests for each slot, averaged over the last calls.
+  double Waiting() const { return this->waiting; }
   boost::json::object Status() const;
 
  private:
@@ -94,6 +98,7 @@
   const Clock& clock;
   Address target_address;
   const MeshViewHolder& views;
+  TreeDemand& demand;
   std::shared_ptr<const MeshView> view;
   /// The own target's entry; null while none is registered.
   const MeshTarget* own_target = nullptr;
@@ -110,6 +115,7 @@
   bool reported_cold = true;
   /// Mean time of an answered request.
   Duration work = Duration::zero();
+  double waiting = 0;
   std::atomic<int> calls_in_progress = 0;
   std::atomic<bool> draining = false;
 };
--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -56,7 +56,11 @@
               RandomNumber(),
               this->directory,
               [this] { this->PublishView(); }),
-      gate(this->traffic_context, this->clock, this->settings, this->views),
+      gate(this->traffic_context,
+           this->clock,
+           this->settings,
+           this->views,
+           this->demand),
       router(this->traffic_context,
              nullptr,
              this->clock,
@@ -73,6 +77,7 @@
             this->settings,
             RandomNumber(),
             this->views,
+            this->demand,
             this->router),
       caller_server(this->traffic_context,
                     CallerServerLimits(),
@@ -203,14 +208,11 @@
     ErrorCode ignored;
     co_await timer.async_wait(Await(ignored));
     asio::post(this->traffic_context, [this] {
+      NodeLoad load;
+      load.slots = this->gate.Slots();
+      load.waiting = this->gate.Waiting();
       protocol::NodeNews news;
-      for (const auto& [customer, rate] : this->entry.OwnDemand()) {
-        protocol::CustomerDemand* demand = news.add_customers();
-        demand->set_customer(customer);
-        demand->set_rate(static_cast<float>(rate));
-      }
-      news.set_service(this->settings.service);
-      news.set_slots(static_cast<float>(this->gate.Slots()));
+      EncodeTrafficNews(this->entry.TellNews(std::move(load)), news);
       asio::post(this->control_context, [this, news] { this->SendNews(news); });
     });
   }
@@ -244,13 +246,10 @@
       news.node() != ip) {
     return;
   }
-  std::map<std::string, double> demand;
-  for (const protocol::CustomerDemand& customer : news.customers()) {
-    demand[customer.customer()] = customer.rate();
-  }
-  asio::post(this->traffic_context, [this, ip, demand = std::move(demand)] {
-    this->entry.TakeNews(ip, demand);
-  });
+  asio::post(this->traffic_context,
+             [this, ip, traffic = DecodeTrafficNews(news)] {
+               this->entry.TakeNews(ip, traffic);
+             });
 }
 
 Awaitable<> MeshNode::ShutDownOnSignal() {
--- a/src/node/mesh_node.h
+++ b/src/node/mesh_node.h
@@ -52,6 +52,7 @@
   MeshViewHolder views;
   MeshDirectory directory;
   StoreWatcher watcher;
+  TreeDemand demand;
   MeshGate gate;
   GateRouter router;
   MeshEntry entry;
--- /dev/null
+++ b/src/protocol/news_codec.h
@@ -0,0 +1,24 @@
+#ifndef DAISYWINCH_PROTOCOL_NEWS_CODEC_H
+#define DAISYWINCH_PROTOCOL_NEWS_CODEC_H
+
+#include <map>
+#include <string>
+
+#include "coordination/fleet_load.h"
+#include "protocol/generated/news_messages.pb.h"
+
+namespace daisywinch {
+
+/// What a node's entry and gate tell the other nodes.
+struct TrafficNews {
+  /// Requests per second by customer.
+  std::map<std::string, double> customers;
+  NodeLoad load;
+};
+
+void EncodeTrafficNews(const TrafficNews& traffic, protocol::NodeNews& news);
+TrafficNews DecodeTrafficNews(const protocol::NodeNews& news);
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_PROTOCOL_NEWS_CODEC_H
--- a/src/state/customer_shares.cc
+++ b/src/state/customer_shares.cc
@@ -15,11 +15,15 @@
 constexpr double kCalmPart = 0.9;
 /// Part of the operators' allowance that nodes may spend on requests that come
 /// unevenly; the rest covers views that differ.
-constexpr double kUnevenPart = 0.5;
+constexpr double kUnevenPart = 0.35;
 /// Requests that a node may take at once beyond its share, at least and at
 /// most.
 constexpr double kLeastExtra = 1;
 constexpr double kMostExtra = 6;
+/// Growth of the own demand since it was told to the others that counts.
+constexpr double kTrustedGrowth = 2;
+/// Demand in requests per second that counts although it was not told.
+constexpr double kUntoldDemand = 0.1;
 /// Part of the allowance that the shares are widened by, as demand that moves
 /// between nodes is seen late.
 constexpr double kWidening = 0.1;
@@ -82,7 +86,9 @@
 CustomerShares::Grant CustomerShares::GrantOf(const std::string& name,
                                               const Account& account,
                                               TimePoint now) const {
-  const double own = account.own_demand.PerSecond(now);
+  const double own =
+      std::min(account.own_demand.PerSecond(now),
+               kTrustedGrowth * account.told_demand + kUntoldDemand);
   double others = 0;
   int heard = 0;
   for (const auto& [node, peer] : this->peers) {
@@ -111,13 +117,13 @@
   return grant;
 }
 
-std::map<std::string, double> CustomerShares::OwnDemand(TimePoint now) const {
+std::map<std::string, double> CustomerShares::TellOwnDemand(TimePoint now) {
   constexpr double least = 0.05;
   std::map<std::string, double> demand;
-  for (const auto& [name, account] : this->accounts) {
-    const double rate = account.own_demand.PerSecond(now);
-    if (rate >= least) {
-      demand[name] = rate;
+  for (auto& [name, account] : this->accounts) {
+    account.told_demand = account.own_demand.PerSecond(now);
+    if (account.told_demand >= least) {
+      demand[name] = account.told_demand;
     }
   }
   return demand;
--- a/src/state/customer_shares.h
+++ b/src/state/customer_shares.h
@@ -38,14 +38,18 @@
   /// Counts a request of the customer and admits it if it is in the own share.
   bool Take(const std::string& customer, TimePoint now);
 
-  /// What customers ask of this node, in requests per second.
-  std::map<std::string, double> OwnDemand(TimePoint now) const;
+  /// What customers ask of this node, in requests per second, to be told to
+  /// the others. Shares are then reckoned with this figure: were each node's
+  /// own newer than the others', a sudden demand would raise all shares.
+  std::map<std::string, double> TellOwnDemand(TimePoint now);
 
  private:
   struct Account {
     double rate = 0;
     double burst = 0;
     DecayedRate own_demand = DecayedRate(std::chrono::seconds(2));
+    /// Own demand as the others know it.
+    double told_demand = 0;
     double tokens = 0;
     bool is_new = true;
     TimePoint refilled_at;
--- a/src/state/gate_chooser.cc
+++ b/src/state/gate_chooser.cc
@@ -12,9 +12,10 @@
 
 /// Mean time of a request at a target that has not reported, in seconds.
 constexpr double kUnknownWork = 0.05;
-/// Worth of staying in the data centre, in seconds of a caller's time: bytes
-/// between data centres are paid for.
-constexpr double kRemotePenalty = 0.04;
+/// Part of the objective that a call may lose before it leaves the data centre:
+/// bytes between data centres are paid for.
+constexpr double kRemotePart = 0.25;
+constexpr double kLeastRemotePenalty = 0.01;
 /// Added for a cold target, which takes only a few requests a second.
 constexpr double kColdPenalty = 0.2;
 /// Added for a target all of whose last calls failed.
@@ -51,7 +52,10 @@
 const MeshTarget* GateChooser::Choose(const MeshView& view,
                                       std::string_view service,
                                       const std::set<std::string>& excluded,
+                                      Duration objective,
                                       TimePoint now) {
+  const double remote_penalty =
+      std::max(kLeastRemotePenalty, kRemotePart * ToSeconds(objective));
   const MeshTarget* best = nullptr;
   double best_seconds = 0;
   std::uniform_real_distribution<double> jitter(1, 1 + kJitter);
@@ -59,8 +63,8 @@
     if (excluded.contains(target->id)) {
       continue;
     }
-    const double seconds =
-        this->ExpectedSeconds(*target, now) * jitter(this->random);
+    const double seconds = this->ExpectedSeconds(*target, remote_penalty, now) *
+                           jitter(this->random);
     if (best == nullptr || seconds < best_seconds) {
       best = target;
       best_seconds = seconds;
@@ -69,7 +73,9 @@
   return best;
 }
 
-double GateChooser::ExpectedSeconds(const MeshTarget& target, TimePoint now) {
+double GateChooser::ExpectedSeconds(const MeshTarget& target,
+                                    double remote_penalty,
+                                    TimePoint now) {
   const GateState& state = this->states[target.id];
   const bool is_fresh = state.has_load && now - state.reported_at < kReportAge;
   double work = kUnknownWork;
@@ -80,7 +86,7 @@
   const double busy = state.own_in_flight + (is_fresh ? state.others : 0) + 1;
   double seconds = work + work * ExpectedWait(busy / slots, slots);
   if (target.data_centre != this->data_centre) {
-    seconds += kRemotePenalty;
+    seconds += remote_penalty;
   }
   if (is_fresh && state.load.is_cold) {
     seconds += kColdPenalty;
--- a/src/state/gate_chooser.h
+++ b/src/state/gate_chooser.h
@@ -44,9 +44,13 @@
   GateChooser(std::string data_centre, std::uint64_t seed);
 
   /// The target for a call; null if there is none outside `excluded`.
+  ///
+  /// `objective` is the time that is left for an answer of full worth: the
+  /// more there is, the longer a call stays in its data centre.
   const MeshTarget* Choose(const MeshView& view,
                            std::string_view service,
                            const std::set<std::string>& excluded,
+                           Duration objective,
                            TimePoint now);
 
   void CallStarted(const std::string& target_id);
@@ -72,7 +76,9 @@
     TimePoint avoided_until;
   };
 
-  double ExpectedSeconds(const MeshTarget& target, TimePoint now);
+  double ExpectedSeconds(const MeshTarget& target,
+                         double remote_penalty,
+                         TimePoint now);
 
   std::string data_centre;
   std::mt19937_64 random;
--- /dev/null
+++ b/src/state/root_admission.h
@@ -0,0 +1,43 @@
+#ifndef DAISYWINCH_STATE_ROOT_ADMISSION_H
+#define DAISYWINCH_STATE_ROOT_ADMISSION_H
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace daisywinch {
+
+/// Roots that are treated alike: one route, one rank.
+struct RootKind {
+  std::string route;
+  /// 0 is the highest rank.
+  std::uint32_t priority = 0;
+
+  friend auto operator<=>(const RootKind&, const RootKind&) = default;
+};
+
+/// What callers ask for of one kind and what serving it takes.
+struct RootOffer {
+  RootKind kind;
+  /// Requests per second.
+  double rate = 0;
+  /// Time that the whole tree of a request holds slots, by service, in
+  /// seconds.
+  std::map<std::string, double> slot_seconds;
+};
+
+/// The part of each kind of root that fits the services' slots.
+///
+/// Kinds are served in the order of their rank, and within a rank those first
+/// that need least of the service that is shortest (the greedy solution of the
+/// fractional knapsack, Dantzig 1957). A small part of every kind is admitted
+/// first, so that none starves.
+std::map<RootKind, double> AdmittedParts(
+    const std::vector<RootOffer>& offers,
+    const std::map<std::string, double>& slots);
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_STATE_ROOT_ADMISSION_H
--- a/src/transport/call_client.cc
+++ b/src/transport/call_client.cc
@@ -10,7 +10,17 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kConnectTimeout{1000};
+constexpr std::chrono::milliseconds kConnectTimeout{500};
+/// Time after the last bytes for which the other side is taken to be there.
+constexpr std::chrono::milliseconds kFreshness{150};
+/// Longest wait for a sign of the other side before a call is sent.
+constexpr std::chrono::milliseconds kConfirmationTime{250};
+/// Silence after which calls in progress are asked about, and after which they
+/// are given up. A process that shares its processor may stand still for a
+/// tenth of a second several times in a row.
+constexpr std::chrono::milliseconds kPingAfter{250};
+constexpr std::chrono::milliseconds kGiveUpAfter{800};
+constexpr std::chrono::milliseconds kWatchInterval{150};
 
 }  // namespace
 
@@ -44,6 +54,11 @@
   if (!connected) {
     co_return MakeRefusedReply(RefusalReason::kTargetUnreachable);
   }
+  const std::shared_ptr<FrameStream> connection = this->stream;
+  const bool confirmed = co_await this->Confirm(connection, deadline);
+  if (!confirmed) {
+    co_return MakeRefusedReply(RefusalReason::kTargetUnreachable);
+  }
   if (cancellation->IsCancelled()) {
     co_return MakeRefusedReply(RefusalReason::kDeadlineTooShort);
   }
@@ -56,7 +71,7 @@
   const std::shared_ptr<PendingCall> call =
       std::make_shared<PendingCall>(this->context);
   this->pending[call_id] = call;
-  const std::shared_ptr<FrameStream> connection = this->stream;
+  call->started = this->clock.Now();
   protocol::CallFrame frame;
   *frame.mutable_request() = std::move(request);
   connection->Send(frame, [call] {
@@ -85,6 +100,63 @@
   co_return MakeRefusedReply(RefusalReason::kDeadlinePassed);
 }
 
+Awaitable<bool> CallClient::Confirm(std::shared_ptr<FrameStream> connection,
+                                    TimePoint deadline) {
+  const TimePoint started = this->clock.Now();
+  if (started - connection->LastReceived() <= kFreshness) {
+    co_return !connection->IsClosed();
+  }
+  if (this->confirmation_waiters.empty()) {
+    SendPing(*connection);
+  }
+  const std::shared_ptr<Timer> waiter = std::make_shared<Timer>(
+      this->context,
+      std::min<TimePoint>(deadline, started + kConfirmationTime));
+  this->confirmation_waiters.push_back(waiter);
+  ErrorCode ignored;
+  co_await waiter->async_wait(Await(ignored));
+  const bool is_there = connection->LastReceived() >= started;
+  if (!is_there) {
+    std::erase(this->confirmation_waiters, waiter);
+    if (this->pending.empty()) {
+      connection->Close();
+    }
+  }
+  co_return is_there && !connection->IsClosed();
+}
+
+Awaitable<> CallClient::WatchSilence(std::shared_ptr<CallClient> self,
+                                     std::shared_ptr<FrameStream> connection) {
+  while (!connection->IsClosed()) {
+    Timer timer(this->context, kWatchInterval);
+    ErrorCode ignored;
+    co_await timer.async_wait(Await(ignored));
+    const TimePoint now = this->clock.Now();
+    TimePoint oldest = now;
+    for (const auto& [call_id, call] : self->pending) {
+      oldest = std::min(oldest, call->started);
+    }
+    const Duration silence = now - std::max(oldest, connection->LastReceived());
+    if (silence >= kGiveUpAfter) {
+      connection->Close();
+    } else if (silence >= kPingAfter) {
+      SendPing(*connection);
+    }
+  }
+}
+
+void CallClient::SendPing(FrameStream& connection) {
+  protocol::CallFrame ping;
+  ping.mutable_ping()->set_nonce(1);
+  connection.Send(ping);
+}
+
+void CallClient::WakeAll(std::vector<std::shared_ptr<Timer>>& timers) {
+  for (const std::shared_ptr<Timer>& timer : std::exchange(timers, {})) {
+    timer->cancel();
+  }
+}
+
 void CallClient::Close() {
   if (this->stream) {
     this->stream->Close();
@@ -117,12 +189,11 @@
     this->stream = connection;
     asio::co_spawn(this->context, this->ReadReplies(self, connection),
                    asio::detached);
+    asio::co_spawn(this->context, this->WatchSilence(self, connection),
+                   asio::detached);
   }
   this->connecting = false;
-  for (const std::shared_ptr<Timer>& waiter :
-       std::exchange(this->connection_waiters, {})) {
-    waiter->cancel();
-  }
+  WakeAll(this->connection_waiters);
 }
 
 Awaitable<> CallClient::ReadReplies(std::shared_ptr<CallClient> self,
@@ -132,6 +203,7 @@
     if (!frame) {
       break;
     }
+    WakeAll(self->confirmation_waiters);
     if (frame->has_reply()) {
       self->TakeReply(std::move(*frame->mutable_reply()));
     }
--- a/src/transport/call_server.cc
+++ b/src/transport/call_server.cc
@@ -87,6 +87,10 @@
           this->context,
           this->Answer(connection, std::move(*frame->mutable_request())),
           asio::detached);
+    } else if (frame->has_ping()) {
+      protocol::CallFrame pong;
+      pong.mutable_pong()->set_nonce(frame->ping().nonce());
+      connection->stream->Send(pong);
     } else if (frame->has_cancel()) {
       const auto call = connection->calls.find(frame->cancel().call_id());
       if (call != connection->calls.end()) {
