--- a/src/coordination/fleet_load.cc
+++ b/src/coordination/fleet_load.cc
@@ -1,6 +1,7 @@
 #include "coordination/fleet_load.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace daisywinch {
 
@@ -8,13 +9,18 @@
 
 /// Time after which a silent node's news counts no more.
 constexpr std::chrono::milliseconds kNewsAge{2500};
-/// Part of the slots that admitted roots may fill on average; the rest takes
-/// what comes unevenly.
-constexpr double kFilledPart = 0.92;
-/// Part of the slots that is given up for each waiting request a slot, so that
-/// a queue drains.
-constexpr double kDrainPart = 0.5;
-constexpr double kLeastDrained = 0.4;
+/// Part of the slots that admitted roots may fill on average. Gates leave some
+/// free already; what still waits is corrected for.
+constexpr double kFilledPart = 1.0;
+/// Time between two corrections; the news that they rest on is as old.
+constexpr std::chrono::milliseconds kCorrectionInterval{500};
+/// Refused part of the calls of begun trees above which a service is given
+/// less, and below which it is given more.
+constexpr double kManyRefused = 0.03;
+constexpr double kFewRefused = 0.01;
+constexpr double kDecrease = 0.85;
+constexpr double kIncrease = 0.1;
+constexpr double kLeastCorrection = 0.1;
 /// Depth at which a call tree is taken for a loop.
 constexpr int kDeepest = 10;
 /// Calls per run below which a call is taken for noise of the learning.
@@ -22,6 +28,25 @@
 /// Weight of a node's rows besides its rate of runs.
 constexpr double kRowWeight = 0.01;
 
+/// "service demand/slots" in slots, for each service.
+std::string DescribeDemand(const std::vector<RootOffer>& offers,
+                           const std::map<std::string, double>& slots) {
+  std::string text;
+  for (const auto& [service, count] : slots) {
+    double demand = 0;
+    for (const RootOffer& offer : offers) {
+      const auto seconds = offer.slot_seconds.find(service);
+      demand += seconds == offer.slot_seconds.end()
+                    ? 0
+                    : offer.rate * seconds->second;
+    }
+    text += (text.empty() ? "" : " ") + service + " " +
+            std::to_string(std::lround(demand)) + "/" +
+            std::to_string(std::lround(count));
+  }
+  return text;
+}
+
 }  // namespace
 
 void FleetLoad::Take(const std::string& node,
@@ -97,9 +122,35 @@
   return sums;
 }
 
+void FleetLoad::CorrectSupply(TimePoint now) {
+  if (now - this->corrected_at < kCorrectionInterval) {
+    return;
+  }
+  this->corrected_at = now;
+  std::map<std::string, double> slots;
+  std::map<std::string, double> refused;
+  for (const auto& [name, node] : this->nodes) {
+    if (now - node.heard_at <= kNewsAge) {
+      slots[node.load.service] += node.load.slots;
+      refused[node.load.service] += node.load.slots * node.load.refused_part;
+    }
+  }
+  for (const auto& [service, sum] : slots) {
+    double& correction =
+        this->corrections.try_emplace(service, 1).first->second;
+    const double mean = sum > 0 ? refused[service] / sum : 0;
+    if (mean > kManyRefused) {
+      correction = std::max(kLeastCorrection, correction * kDecrease);
+    } else if (mean < kFewRefused) {
+      correction = std::min(1.0, correction + kIncrease);
+    }
+  }
+}
+
 std::map<RootKind, double> FleetLoad::AdmittedParts(
     const MeshConfiguration& configuration,
-    TimePoint now) const {
+    TimePoint now) {
+  this->CorrectSupply(now);
   const CostTable costs = this->MeanCosts(now);
   std::map<RootKind, double> rates;
   std::map<std::string, double> slots;
@@ -107,9 +158,10 @@
     if (now - node.heard_at > kNewsAge) {
       continue;
     }
-    const double drained =
-        std::max(kLeastDrained, 1 - kDrainPart * node.load.waiting);
-    slots[node.load.service] += node.load.slots * kFilledPart * drained;
+    const auto correction = this->corrections.find(node.load.service);
+    slots[node.load.service] +=
+        node.load.slots * kFilledPart *
+        (correction == this->corrections.end() ? 1 : correction->second);
     for (const auto& [kind, rate] : node.load.roots) {
       rates[kind] += rate;
     }
@@ -122,6 +174,7 @@
     AddCost(configuration, costs, kind.route, 1, 0, offer.slot_seconds);
     offers.push_back(std::move(offer));
   }
+  this->last_reason = DescribeDemand(offers, slots);
   return daisywinch::AdmittedParts(offers, slots);
 }
 
--- a/src/coordination/fleet_load.h
+++ b/src/coordination/fleet_load.h
@@ -18,8 +18,8 @@
   std::string service;
   /// Requests that the target may run at once; 0 while it takes none.
   double slots = 0;
-  /// Waiting requests for each slot, averaged.
-  double waiting = 0;
+  /// Part of the calls of begun trees that its gate refuses, from 0 to 1.
+  double refused_part = 0;
   std::vector<RouteCost> costs;
   /// Roots that the node was asked for, in requests per second.
   std::map<RootKind, double> roots;
@@ -34,9 +34,19 @@
   void Take(const std::string& node, const NodeLoad& load, TimePoint now);
 
   /// The part of each kind of root to admit, for the configuration's routes.
+  ///
+  /// Corrects itself: while calls of begun trees are refused at a service, it
+  /// is given less than its slots suggest, and more again when none are. So a
+  /// demand that was
+  /// learned wrong, as after a restart in the midst of overload, does no
+  /// lasting harm.
   std::map<RootKind, double> AdmittedParts(
       const MeshConfiguration& configuration,
-      TimePoint now) const;
+      TimePoint now);
+
+  /// Demand and counted slots of each service at the last computation, as text
+  /// for the log.
+  const std::string& LastReason() const { return this->last_reason; }
 
   /// What the tree of a root takes of each service, in slot-seconds.
   std::map<std::string, double> TreeCost(const MeshConfiguration& configuration,
@@ -60,7 +70,13 @@
                       int depth,
                       std::map<std::string, double>& sums);
 
+  void CorrectSupply(TimePoint now);
+
   std::map<std::string, HeardLoad> nodes;
+  /// Part of a service's slots that is counted on.
+  std::map<std::string, double> corrections;
+  TimePoint corrected_at;
+  std::string last_reason;
 };
 
 }  // namespace daisywinch
--- a/src/node/mesh_entry.cc
+++ b/src/node/mesh_entry.cc
@@ -1,6 +1,7 @@
 #include "node/mesh_entry.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -33,6 +34,9 @@
 
 /// Time between two computations of what is admitted.
 constexpr std::chrono::milliseconds kAdmissionInterval{100};
+/// Least change of an admitted part that is logged, and how often.
+constexpr double kReportedChange = 0.1;
+constexpr std::chrono::milliseconds kReportInterval{400};
 
 RequestClass ClassOf(std::uint32_t priority) {
   return static_cast<RequestClass>(
@@ -329,6 +333,7 @@
     this->parts_computed_at = call.started;
     this->admitted_parts =
         this->fleet_load.AdmittedParts(*call.configuration, call.started);
+    this->ReportAdmission(call.started);
   }
   const auto part = this->admitted_parts.find(kind);
   if (part == this->admitted_parts.end() || part->second >= 1) {
@@ -343,6 +348,25 @@
   return true;
 }
 
+void MeshEntry::ReportAdmission(TimePoint now) {
+  if (now - this->admission_reported_at < kReportInterval) {
+    return;
+  }
+  for (const auto& [kind, part] : this->admitted_parts) {
+    double& reported = this->reported_parts.try_emplace(kind, 1).first->second;
+    if (std::abs(part - reported) < kReportedChange) {
+      continue;
+    }
+    reported = part;
+    this->admission_reported_at = now;
+    LogEvent(EventId::kAdmissionChanged,
+             {{"route", kind.route},
+              {"priority", kind.priority},
+              {"part", std::to_string(part)},
+              {"demand", this->fleet_load.LastReason()}});
+  }
+}
+
 void MeshEntry::Record(const Call& call,
                        std::uint32_t reason,
                        Duration in_target) {
--- a/src/node/mesh_entry.h
+++ b/src/node/mesh_entry.h
@@ -85,6 +85,8 @@
                     int targets_reached);
   /// Admits the part of the roots of its kind that fits; see FleetLoad.
   bool TakeRoot(const Call& call);
+  /// Logs admitted parts that have changed.
+  void ReportAdmission(TimePoint now);
   RetryBudget& RetriesOf(const std::string& service);
   HttpResponse MakeAnswer(const Call& call, protocol::CallReply reply);
   HttpResponse MakeRefusal(const Call& call,
@@ -113,6 +115,8 @@
   /// Admission owed to each kind; a root is admitted when it reaches 1.
   std::map<RootKind, double> root_credits;
   TimePoint parts_computed_at;
+  std::map<RootKind, double> reported_parts;
+  TimePoint admission_reported_at;
   std::unordered_map<std::string, RetryBudget> retries;
   CallMetrics metrics;
   std::mt19937_64 random;
--- a/src/node/mesh_gate.cc
+++ b/src/node/mesh_gate.cc
@@ -25,13 +25,16 @@
 /// Part of its objective that a root waits for a slot; a later refusal costs
 /// its caller the time that it needs to come back.
 constexpr int kRootWaitPart = 8;
-constexpr std::chrono::milliseconds kLeastRootWait{20};
+/// The same for a call of a tree that has begun; it waits longer, as refusing
+/// it wastes the tree, but not so long that its tree runs out of time.
+constexpr int kInnerWaitPart = 2;
+constexpr std::chrono::milliseconds kLeastWait{20};
 constexpr std::chrono::milliseconds kHealthInterval{250};
 constexpr std::chrono::milliseconds kHealthTimeout{1000};
 /// Weight of one request in the mean time of requests.
 constexpr int kWorkWeight = 16;
-/// Weight of one call in the mean number of waiting requests.
-constexpr double kWaitingWeight = 0.03;
+/// Weight of one call in the part that is refused.
+constexpr double kRefusedWeight = 0.02;
 constexpr Duration kInitialWork = std::chrono::milliseconds(50);
 
 std::uint64_t ToMicroseconds(Duration duration) {
@@ -129,6 +132,10 @@
   RefusalReason reason = this->ReasonToRefuse();
   if (reason == RefusalReason::kNone) {
     reason = co_await this->WaitForSlot(request, deadline, cancellation);
+    if (!request.is_root()) {
+      const double refused = reason == RefusalReason::kNone ? 0 : 1;
+      this->refused_part += kRefusedWeight * (refused - this->refused_part);
+    }
   }
   if (reason != RefusalReason::kNone) {
     co_return MakeRefusedReply(reason);
@@ -152,9 +159,6 @@
     TimePoint deadline,
     std::shared_ptr<Cancellation> cancellation) {
   const TimePoint now = this->clock.Now();
-  this->waiting +=
-      kWaitingWeight *
-      (static_cast<double>(this->queue.Size()) / this->limit - this->waiting);
   if (cancellation->IsCancelled() || now >= deadline) {
     co_return RefusalReason::kDeadlineTooShort;
   }
@@ -166,14 +170,13 @@
   waiting.id = this->next_waiter++;
   waiting.is_root = request.is_root();
   waiting.priority = request.priority();
-  waiting.latest_start = deadline - std::min(this->work, deadline - now);
-  if (request.is_root()) {
-    const Duration most = std::max<Duration>(
-        kLeastRootWait,
-        std::chrono::microseconds(request.objective_microseconds()) /
-            kRootWaitPart);
-    waiting.latest_start = std::min(waiting.latest_start, now + most);
-  }
+  const Duration objective =
+      std::chrono::microseconds(request.objective_microseconds());
+  const Duration most = std::max<Duration>(
+      kLeastWait,
+      objective / (request.is_root() ? kRootWaitPart : kInnerWaitPart));
+  waiting.latest_start =
+      std::min(deadline - std::min(this->work, deadline - now), now + most);
   const std::shared_ptr<Waiter> waiter =
       std::make_shared<Waiter>(this->context);
   this->waiters[waiting.id] = waiter;
--- a/src/node/mesh_gate.h
+++ b/src/node/mesh_gate.h
@@ -53,8 +53,11 @@
 
   /// Requests that the target may run at once; 0 while it takes none.
   int Slots() const;
-  /// Waiting requests for each slot, averaged over the last calls.
-  double Waiting() const { return this->waiting; }
+  /// Part of the calls of begun trees that were refused lately, from 0 to 1.
+  double RefusedPart() const {
+    // What a cold target is spared says nothing of the service's slots.
+    return this->temperature.IsCold(this->clock.Now()) ? 0 : this->refused_part;
+  }
   boost::json::object Status() const;
 
  private:
@@ -115,7 +118,7 @@
   bool reported_cold = true;
   /// Mean time of an answered request.
   Duration work = Duration::zero();
-  double waiting = 0;
+  double refused_part = 0;
   std::atomic<int> calls_in_progress = 0;
   std::atomic<bool> draining = false;
 };
--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -210,7 +210,7 @@
     asio::post(this->traffic_context, [this] {
       NodeLoad load;
       load.slots = this->gate.Slots();
-      load.waiting = this->gate.Waiting();
+      load.refused_part = this->gate.RefusedPart();
       protocol::NodeNews news;
       EncodeTrafficNews(this->entry.TellNews(std::move(load)), news);
       asio::post(this->control_context, [this, news] { this->SendNews(news); });
--- a/src/protocol/news_codec.cc
+++ b/src/protocol/news_codec.cc
@@ -28,7 +28,7 @@
   }
   news.set_service(traffic.load.service);
   news.set_slots(static_cast<float>(traffic.load.slots));
-  news.set_waiting(static_cast<float>(traffic.load.waiting));
+  news.set_refused_part(static_cast<float>(traffic.load.refused_part));
   for (const RouteCost& cost : traffic.load.costs) {
     protocol::RouteCost* row = news.add_costs();
     row->set_route(cost.route);
@@ -53,7 +53,7 @@
   }
   traffic.load.service = news.service();
   traffic.load.slots = ReadFigure(news.slots());
-  traffic.load.waiting = ReadFigure(news.waiting());
+  traffic.load.refused_part = ReadFigure(news.refused_part());
   for (const protocol::RouteCost& row : news.costs()) {
     RouteCost cost;
     cost.route = row.route();
--- a/src/state/customer_shares.cc
+++ b/src/state/customer_shares.cc
@@ -15,13 +15,11 @@
 constexpr double kCalmPart = 0.9;
 /// Part of the operators' allowance that nodes may spend on requests that come
 /// unevenly; the rest covers views that differ.
-constexpr double kUnevenPart = 0.35;
+constexpr double kUnevenPart = 0.25;
 /// Requests that a node may take at once beyond its share, at least and at
 /// most.
 constexpr double kLeastExtra = 1;
 constexpr double kMostExtra = 6;
-/// Growth of the own demand since it was told to the others that counts.
-constexpr double kTrustedGrowth = 2;
 /// Demand in requests per second that counts although it was not told.
 constexpr double kUntoldDemand = 0.1;
 /// Part of the allowance that the shares are widened by, as demand that moves
@@ -86,9 +84,8 @@
 CustomerShares::Grant CustomerShares::GrantOf(const std::string& name,
                                               const Account& account,
                                               TimePoint now) const {
-  const double own =
-      std::min(account.own_demand.PerSecond(now),
-               kTrustedGrowth * account.told_demand + kUntoldDemand);
+  const double own = std::min(account.own_demand.PerSecond(now),
+                              account.told_demand + kUntoldDemand);
   double others = 0;
   int heard = 0;
   for (const auto& [node, peer] : this->peers) {
--- a/src/state/event_log.cc
+++ b/src/state/event_log.cc
@@ -82,6 +82,10 @@
                      "starts low."},
     EventDescription{EventId::kTargetWarm, kInformation, "target-warm",
                      "The target reached its full limit."},
+    EventDescription{EventId::kAdmissionChanged, kInformation,
+                     "admission-changed",
+                     "The part of a kind of root request that is admitted "
+                     "changed, as demand or supply of a service did."},
 };
 
 const char* SeverityLetter(Severity severity) {
--- a/src/state/event_log.h
+++ b/src/state/event_log.h
@@ -37,6 +37,7 @@
   kPeerRejected = 3003,
   kTargetCold = 4001,
   kTargetWarm = 4002,
+  kAdmissionChanged = 5001,
 };
 
 /// The fixed part of an event.
--- a/src/state/gate_chooser.cc
+++ b/src/state/gate_chooser.cc
@@ -16,6 +16,9 @@
 /// bytes between data centres are paid for.
 constexpr double kRemotePart = 0.25;
 constexpr double kLeastRemotePenalty = 0.01;
+/// Weight of time spent waiting against time spent being served: what waits
+/// may be refused in the end.
+constexpr double kWaitWeight = 5;
 /// Added for a cold target, which takes only a few requests a second.
 constexpr double kColdPenalty = 0.2;
 /// Added for a target all of whose last calls failed.
@@ -30,6 +33,9 @@
 constexpr int kMostDoublings = 4;
 /// Added for a target that is left alone: used only if nothing else is there.
 constexpr double kAvoidedPenalty = 100;
+/// Part of the calls that go to any target, so that what is known of each one
+/// stays fresh and new ones come to work.
+constexpr double kExploredPart = 0.015;
 /// Random part of the expected time, which keeps entries from all choosing
 /// the same target.
 constexpr double kJitter = 0.1;
@@ -56,10 +62,22 @@
                                       TimePoint now) {
   const double remote_penalty =
       std::max(kLeastRemotePenalty, kRemotePart * ToSeconds(objective));
+  const std::vector<const MeshTarget*>& usable = view.Usable(service);
+  if (usable.empty()) {
+    return nullptr;
+  }
+  if (std::bernoulli_distribution(kExploredPart)(this->random)) {
+    std::uniform_int_distribution<std::size_t> any(0, usable.size() - 1);
+    const MeshTarget* explored = usable[any(this->random)];
+    if (!excluded.contains(explored->id) &&
+        now >= this->states[explored->id].avoided_until) {
+      return explored;
+    }
+  }
   const MeshTarget* best = nullptr;
   double best_seconds = 0;
   std::uniform_real_distribution<double> jitter(1, 1 + kJitter);
-  for (const MeshTarget* target : view.Usable(service)) {
+  for (const MeshTarget* target : usable) {
     if (excluded.contains(target->id)) {
       continue;
     }
@@ -84,7 +102,8 @@
   }
   const double slots = is_fresh ? std::max(1, state.load.limit) : target.slots;
   const double busy = state.own_in_flight + (is_fresh ? state.others : 0) + 1;
-  double seconds = work + work * ExpectedWait(busy / slots, slots);
+  double seconds =
+      work + kWaitWeight * work * ExpectedWait(busy / slots, slots);
   if (target.data_centre != this->data_centre) {
     seconds += remote_penalty;
   }
--- a/src/state/tree_demand.cc
+++ b/src/state/tree_demand.cc
@@ -21,11 +21,21 @@
 constexpr double kSuspicion = 0.1;
 /// Active time in seconds for which the suspicion counts.
 constexpr double kSuspicionWeight = 1.0;
+/// Active time in seconds below which intensities mean nothing.
+constexpr double kLeastActive = 0.05;
 /// Runs, decayed, below which a route is forgotten.
 constexpr double kForgotten = 0.05;
 
 }  // namespace
 
+double TreeDemand::CallsPerRun(const Sums& sums) {
+  double calls = 0;
+  for (const auto& [callee, count] : sums.onward) {
+    calls += count;
+  }
+  return sums.runs > 0 ? calls / sums.runs : 0;
+}
+
 void TreeDemand::RunStarted(const std::string& route, TimePoint now) {
   this->CloseSpan(now);
   this->CountActive(now);
@@ -90,7 +100,8 @@
   for (auto& [name, state] : this->routes) {
     const bool is_useless =
         state.learned.runs > kEnoughRuns &&
-        state.span.failed_runs > kMostFailures * state.span.runs;
+        state.span.failed_runs > kMostFailures * state.span.runs &&
+        CallsPerRun(state.span) <= CallsPerRun(state.learned);
     state.rate = state.span.runs / ToSeconds(elapsed);
     if (!is_useless && state.span.runs > 0) {
       Sums& learned = state.learned;
@@ -121,8 +132,12 @@
     cost.route = name;
     cost.rate = state.rate;
     cost.slot_seconds = state.learned.slot_seconds / state.learned.runs;
+    // By time and not by run: at first, runs that have made their calls are
+    // not yet over.
     for (const auto& [callee, calls] : state.learned.onward) {
-      cost.onward[callee] = calls / state.learned.runs;
+      cost.onward[callee] =
+          calls / std::max(kLeastActive, state.learned.active_seconds) *
+          cost.slot_seconds;
     }
     costs.push_back(std::move(cost));
   }
--- a/src/state/tree_demand.h
+++ b/src/state/tree_demand.h
@@ -62,6 +62,7 @@
     double rate = 0;
   };
 
+  static double CallsPerRun(const Sums& sums);
   void CountActive(TimePoint now);
   void CloseSpan(TimePoint now);
   /// Calls of a route per second of a run's active time.
