--- /dev/null
+++ b/src/coordination/customer_ledger.h
@@ -0,0 +1,101 @@
+#ifndef DAISYWINCH_COORDINATION_CUSTOMER_LEDGER_H
+#define DAISYWINCH_COORDINATION_CUSTOMER_LEDGER_H
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "state/clock.h"
+#include "state/decayed_rate.h"
+#include "state/mesh_configuration.h"
+#include "state/mesh_settings.h"
+
+namespace daisywinch {
+
+/// What a node tells of one customer.
+struct CustomerUse {
+  /// Requests that the node has admitted since it started.
+  std::uint64_t admitted = 0;
+  /// Requests per second that the node is asked for.
+  double demand = 0;
+};
+
+/// Holds each customer to its rate and burst over the whole fleet.
+///
+/// Every node keeps a copy of the customer's one token bucket: it takes a
+/// token for each request that it admits itself, and for those that the others
+/// tell of; in between it goes on at the pace that they told last. While the
+/// bucket has tokens nobody is refused. While a customer asks for more than
+/// its rate, each node besides keeps to its part of the rate, so that the
+/// copies do not all spend the same tokens. What views that lag grant too much
+/// is a debt of the bucket and is paid back; docs/design/06-mesh.md reckons
+/// the bound.
+class CustomerLedger {
+ public:
+  explicit CustomerLedger(const MeshBounds& bounds) : bounds(bounds) {}
+
+  void Configure(const MeshConfiguration& configuration, TimePoint now);
+
+  /// Takes what another node tells. `incarnation` names one run of it.
+  void TakeNews(const std::string& node,
+                std::uint64_t incarnation,
+                const std::map<std::string, CustomerUse>& uses,
+                TimePoint now);
+  /// Forgets the nodes that are not in the list.
+  void KeepOnly(const std::set<std::string>& nodes, TimePoint now);
+
+  /// Counts a request of the customer; whether it is within rate and burst.
+  bool Take(const std::string& customer, TimePoint now);
+
+  /// What this node tells. Parts of the rate are reckoned with the demand as
+  /// it was told: were each node's own newer than the others', a sudden demand
+  /// would raise all parts.
+  std::map<std::string, CustomerUse> Tell(TimePoint now);
+
+ private:
+  struct Account {
+    double rate = 0;
+    double burst = 0;
+    /// Tokens of the fleet's bucket as this node sees it; below 0 is debt.
+    double tokens = 0;
+    /// Tokens of this node's part while the customer is over its rate.
+    double own_tokens = 0;
+    TimePoint refilled_at;
+    bool is_new = true;
+    std::uint64_t admitted = 0;
+    DecayedRate own_demand = DecayedRate(std::chrono::seconds(2));
+    double told_demand = 0;
+    /// What the other nodes ask for and admit, in requests per second.
+    double others_demand = 0;
+    double others_pace = 0;
+  };
+
+  /// The last that a peer told of one customer.
+  struct PeerUse {
+    std::uint64_t admitted = 0;
+    double demand = 0;
+    /// Requests per second that it admitted between its last two news.
+    double pace = 0;
+  };
+
+  struct Peer {
+    std::uint64_t incarnation = 0;
+    TimePoint heard_at;
+    std::map<std::string, PeerUse> uses;
+  };
+
+  static void Refill(Account& account, double part, TimePoint now);
+  void SumPeers();
+  /// Part of the customer's rate that is this node's.
+  static double PartOf(const Account& account);
+
+  MeshBounds bounds;
+  std::unordered_map<std::string, Account> accounts;
+  std::map<std::string, Peer> peers;
+};
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_COORDINATION_CUSTOMER_LEDGER_H
--- a/src/node/mesh_entry.cc
+++ b/src/node/mesh_entry.cc
@@ -86,7 +86,7 @@
       views(views),
       sender(sender),
       chooser(settings.data_centre, seed),
-      shares(settings.bounds),
+      ledger(settings.bounds),
       demand(demand),
       random(seed) {}
 
@@ -115,11 +115,11 @@
     return;
   }
   this->view = std::move(newest);
-  this->node_count = std::max<int>(1, this->view->VmAddresses().size());
+  const TimePoint now = this->clock.Now();
   if (this->view->Configuration() != nullptr) {
-    this->shares.Configure(*this->view->Configuration(), this->node_count,
-                           this->clock.Now());
+    this->ledger.Configure(*this->view->Configuration(), now);
   }
+  this->ledger.KeepOnly(this->view->VmAddresses(), now);
 }
 
 RefusalReason MeshEntry::Admit(HttpRequest& request, Call& call) {
@@ -162,7 +162,7 @@
   call.deadline =
       call.started + std::max(Duration::zero(), longest - kAnswerMargin);
   if (!call.customer.empty() &&
-      !this->shares.Take(call.customer, call.started)) {
+      !this->ledger.Take(call.customer, call.started)) {
     return RefusalReason::kOverRate;
   }
   if (!call.is_root) {
@@ -306,9 +306,11 @@
   return std::chrono::duration_cast<Duration>(objective * part(this->random));
 }
 
-void MeshEntry::TakeNews(const std::string& node, const TrafficNews& news) {
+void MeshEntry::TakeNews(const std::string& node,
+                         std::uint64_t incarnation,
+                         const TrafficNews& news) {
   const TimePoint now = this->clock.Now();
-  this->shares.TakeNews(node, news.customers, now);
+  this->ledger.TakeNews(node, incarnation, news.customers, now);
   this->fleet_load.Take(node, news.load, now);
 }
 
@@ -323,7 +325,7 @@
   load.service = this->service;
   load.costs = this->demand.Costs(now);
   this->fleet_load.Take(this->ip, load, now);
-  return {this->shares.TellOwnDemand(now), std::move(load)};
+  return {this->ledger.Tell(now), std::move(load)};
 }
 
 bool MeshEntry::TakeRoot(const Call& call) {
--- a/src/node/mesh_entry.h
+++ b/src/node/mesh_entry.h
@@ -10,13 +10,13 @@
 #include <string>
 #include <unordered_map>
 
+#include "coordination/customer_ledger.h"
 #include "coordination/fleet_load.h"
 #include "node/call_metrics.h"
 #include "node/call_sender.h"
 #include "platform/attempt_messages.h"
 #include "protocol/news_codec.h"
 #include "state/clock.h"
-#include "state/customer_shares.h"
 #include "state/gate_chooser.h"
 #include "state/mesh_settings.h"
 #include "state/mesh_view.h"
@@ -48,7 +48,9 @@
                                  std::shared_ptr<Cancellation> cancellation);
 
   /// Takes what another node tells of its traffic.
-  void TakeNews(const std::string& node, const TrafficNews& news);
+  void TakeNews(const std::string& node,
+                std::uint64_t incarnation,
+                const TrafficNews& news);
   /// Completes what this node tells: `load` holds what its gate sees.
   TrafficNews TellNews(NodeLoad load);
 
@@ -102,11 +104,10 @@
   MeshBounds bounds;
   const MeshViewHolder& views;
   std::shared_ptr<const MeshView> view;
-  int node_count = 1;
   CallSender& sender;
   GateChooser chooser;
   PartSplitter splitter;
-  CustomerShares shares;
+  CustomerLedger ledger;
   TreeDemand& demand;
   FleetLoad fleet_load;
   /// Roots that callers asked for, by kind.
--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -246,10 +246,10 @@
       news.node() != ip) {
     return;
   }
-  asio::post(this->traffic_context,
-             [this, ip, traffic = DecodeTrafficNews(news)] {
-               this->entry.TakeNews(ip, traffic);
-             });
+  asio::post(this->traffic_context, [this, ip, incarnation = news.incarnation(),
+                                     traffic = DecodeTrafficNews(news)] {
+    this->entry.TakeNews(ip, incarnation, traffic);
+  });
 }
 
 Awaitable<> MeshNode::ShutDownOnSignal() {
--- a/src/protocol/news_codec.cc
+++ b/src/protocol/news_codec.cc
@@ -15,10 +15,11 @@
 }  // namespace
 
 void EncodeTrafficNews(const TrafficNews& traffic, protocol::NodeNews& news) {
-  for (const auto& [customer, rate] : traffic.customers) {
+  for (const auto& [customer, use] : traffic.customers) {
     protocol::CustomerDemand* demand = news.add_customers();
     demand->set_customer(customer);
-    demand->set_rate(static_cast<float>(rate));
+    demand->set_rate(static_cast<float>(use.demand));
+    demand->set_admitted(use.admitted);
   }
   for (const auto& [kind, rate] : traffic.load.roots) {
     protocol::RootDemand* root = news.add_roots();
@@ -45,7 +46,8 @@
 TrafficNews DecodeTrafficNews(const protocol::NodeNews& news) {
   TrafficNews traffic;
   for (const protocol::CustomerDemand& demand : news.customers()) {
-    traffic.customers[demand.customer()] = ReadFigure(demand.rate());
+    traffic.customers[demand.customer()] = {demand.admitted(),
+                                            ReadFigure(demand.rate())};
   }
   for (const protocol::RootDemand& root : news.roots()) {
     traffic.load.roots[{root.route(), root.priority()}] =
--- a/src/protocol/news_codec.h
+++ b/src/protocol/news_codec.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 
+#include "coordination/customer_ledger.h"
 #include "coordination/fleet_load.h"
 #include "protocol/generated/news_messages.pb.h"
 
@@ -11,8 +12,7 @@
 
 /// What a node's entry and gate tell the other nodes.
 struct TrafficNews {
-  /// Requests per second by customer.
-  std::map<std::string, double> customers;
+  std::map<std::string, CustomerUse> customers;
   NodeLoad load;
 };
 
