--- a/src/node/mesh_entry.cc
+++ b/src/node/mesh_entry.cc
@@ -82,7 +82,7 @@
     : clock(clock),
       service(settings.service),
       ip(settings.ip),
-      peer_address(settings.peer_address),
+      peer_port(settings.peer_port),
       bounds(settings.bounds),
       views(views),
       sender(sender),
@@ -236,7 +236,7 @@
       call.started + ObjectiveOf(*call.route) - this->clock.Now()));
   Vm vm;
   vm.name = target.address.ip;
-  vm.peer_address = {target.address.ip, this->peer_address.port};
+  vm.peer_address = {target.address.ip, this->peer_port};
   this->chooser.CallStarted(target_id);
   protocol::CallReply reply = co_await this->sender.Send(
       vm, std::move(message), call.deadline, cancellation);
--- a/src/node/mesh_entry.h
+++ b/src/node/mesh_entry.h
@@ -101,7 +101,7 @@
   const Clock& clock;
   std::string service;
   std::string ip;
-  Address peer_address;
+  std::uint16_t peer_port;
   MeshBounds bounds;
   const MeshViewHolder& views;
   std::shared_ptr<const MeshView> view;
--- a/src/state/mesh_settings.cc
+++ b/src/state/mesh_settings.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr NumberRange kRatioRange = {0, 100};
+constexpr NumberRange kPortRange = {1, 65535};
 constexpr NumberRange kCountRange = {0, 1e6};
 
 Duration ReadTimeSpan(ObjectReader& reader, std::string_view name) {
@@ -52,6 +53,8 @@
   settings.service = reader.String("service");
   settings.caller_address = ReadAddress(reader, "caller_address");
   settings.peer_address = ReadAddress(reader, "peer_address");
+  settings.peer_port = static_cast<std::uint16_t>(
+      reader.Integer("peer_port", kPortRange, settings.peer_address.port));
   settings.ready_address = ReadAddress(reader, "ready_address");
   settings.news_address = ReadAddress(reader, "news_address");
   settings.operator_address = ReadAddress(reader, "operator_address");
--- a/src/state/mesh_settings.h
+++ b/src/state/mesh_settings.h
@@ -47,8 +47,10 @@
   std::string ip;
   /// Where callers and the target beside the node send requests.
   Address caller_address;
-  /// Where other nodes send calls; the port is the same on all VMs.
+  /// Where other nodes send calls.
   Address peer_address;
+  /// Port of the other nodes' peer addresses; the own one unless set.
+  std::uint16_t peer_port = 0;
   /// Where the platform asks whether the node takes requests.
   Address ready_address;
   /// Where other nodes send datagrams; the port is the same on all VMs.
--- a/src/transport/http_fetch.cc
+++ b/src/transport/http_fetch.cc
@@ -25,7 +25,9 @@
   if (limits.probe_silence) {
     ProbeSilence(stream.socket());
   }
-  request.set(http::field::host, address.ToString());
+  if (request.find(http::field::host) == request.end()) {
+    request.set(http::field::host, address.ToString());
+  }
   request.prepare_payload();
   co_await http::async_write(stream, request, Await(error));
   if (error) {
--- /dev/null
+++ b/tests/end_to_end/mesh_path_test.cc
@@ -0,0 +1,261 @@
+// The mesh interface over real processes: store, targets, nodes.
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <thread>
+
+#include "support/mesh_fleet.h"
+#include "support/test_fleet.h"
+
+namespace daisywinch::test {
+
+namespace {
+
+struct MeshFixture {
+  MeshFixture()
+      : east(fleet.AddVm("east", "front")),
+        west(fleet.AddVm("west", "front")),
+        back(fleet.AddVm("east", "back")) {
+    this->fleet.Start();
+  }
+
+  Call Look() const {
+    Call call;
+    call.path = "/look/1?x=2";
+    call.key = MeshFleet::kSchoolKey;
+    return call;
+  }
+
+  Call Book() const {
+    Call call;
+    call.method = "POST";
+    call.path = "/book/1";
+    call.key = MeshFleet::kSchoolKey;
+    call.body = "a booking";
+    return call;
+  }
+
+  std::size_t RunCount() {
+    return this->fleet.Runs(this->east).size() +
+           this->fleet.Runs(this->west).size();
+  }
+
+  MeshFleet fleet;
+  MeshVm& east;
+  MeshVm& west;
+  MeshVm& back;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(mesh_path, MeshFixture)
+
+BOOST_AUTO_TEST_CASE(request_reaches_a_target_with_its_headers) {
+  Call call = this->Book();
+  call.headers = {{"X-Kept", "yes"}, {"X-Daisywinch-Tenant-Id", "forged"}};
+  const HttpResponse response = this->fleet.Try(this->back, call, "a-1");
+  BOOST_TEST(response.result_int() == 200);
+  BOOST_TEST(response.body() == "ran /book/1");
+  BOOST_TEST(response["X-Daisywinch-Attempt-Id"] == "a-1");
+  BOOST_TEST(!response["X-Daisywinch-Response-Signature"].empty());
+  boost::json::array runs = this->fleet.Runs(this->east);
+  if (runs.empty()) {
+    runs = this->fleet.Runs(this->west);
+  }
+  BOOST_REQUIRE(runs.size() == 1);
+  const boost::json::object& headers = runs[0].at("headers").as_object();
+  BOOST_TEST(runs[0].at("body").as_string() == "a booking");
+  BOOST_TEST(headers.at("X-Kept").as_string() == "yes");
+  BOOST_TEST(headers.at("X-Daisywinch-Tenant-Id").as_string() == "school");
+  BOOST_TEST(headers.at("X-Daisywinch-Caller-Service").as_string() == "back");
+  BOOST_TEST(headers.at("X-Daisywinch-Attempt-Id").as_string() == "a-1");
+  BOOST_TEST(!headers.contains("Authorization"));
+}
+
+BOOST_AUTO_TEST_CASE(unknown_key_route_and_attempt_are_refused) {
+  Call call = this->Look();
+  call.key = "no-such-key";
+  BOOST_TEST(this->fleet.Try(this->east, call).result_int() == 401);
+  call = this->Look();
+  call.path = "/nothing/1";
+  BOOST_TEST(this->fleet.Try(this->east, call).result_int() == 404);
+  call = this->Look();
+  call.headers = {{"Host", MeshFleet::kHost}};
+  BOOST_TEST(Send(this->east.caller, call).result_int() == 400);
+  BOOST_TEST(this->RunCount() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(onward_call_needs_no_key_on_an_open_route) {
+  Call call = this->Look();
+  call.headers = {{"X-Onward", "/stock/7"}};
+  // The target calls with its node's address as host.
+  this->fleet.SetTarget(this->east, "service_ms=1");
+  const HttpResponse response = this->fleet.Try(this->back, call);
+  BOOST_TEST(response.result_int() == 500);
+  call = Call();
+  call.path = "/stock/7";
+  BOOST_TEST(this->fleet.Try(this->east, call).result_int() == 200);
+  BOOST_TEST(this->fleet.Runs(this->back).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(withdrawn_key_stops_working) {
+  BOOST_TEST(this->fleet.Try(this->east, this->Look()).result_int() == 200);
+  this->fleet.PublishConfiguration(2, "");
+  BOOST_TEST(WaitUntil(
+      [&] {
+        return this->fleet.Try(this->east, this->Look()).result_int() == 401 &&
+               this->fleet.Try(this->west, this->Look()).result_int() == 401;
+      },
+      std::chrono::seconds(2)));
+  // An older version is never taken.
+  this->fleet.PublishConfiguration(1, MeshFleet::kSchoolKey);
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  BOOST_TEST(this->fleet.Try(this->east, this->Look()).result_int() == 401);
+}
+
+BOOST_AUTO_TEST_CASE(damaged_configuration_is_kept_out) {
+  this->fleet.PutKey("op/config", R"({"Version":"00000009","Routes":{"x":)");
+  this->fleet.PutKey("servers/foreign", "{\"Address\": 17}");
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  BOOST_TEST(this->fleet.Try(this->east, this->Look()).result_int() == 200);
+  const std::string log = this->fleet.LogOf(this->east);
+  BOOST_TEST(log.find("2002 configuration-refused") != std::string::npos);
+  BOOST_TEST(log.find("2010 target-refused") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(leaving_target_gets_nothing_more) {
+  this->fleet.PublishTarget(this->east, true);
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  const std::size_t before = this->fleet.Runs(this->east).size();
+  for (int count = 0; count < 20; ++count) {
+    BOOST_TEST(this->fleet.Try(this->east, this->Look()).result_int() == 200);
+  }
+  BOOST_TEST(this->fleet.Runs(this->east).size() == before);
+}
+
+BOOST_AUTO_TEST_CASE(evacuated_data_centre_gets_nothing_more) {
+  this->fleet.PutKey("op/evacuate/west", "{}");
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  for (int count = 0; count < 20; ++count) {
+    BOOST_TEST(this->fleet.Try(this->west, this->Look()).result_int() == 200);
+  }
+  BOOST_TEST(this->fleet.Runs(this->west).empty());
+  this->fleet.RemoveKey("op/evacuate/west");
+  BOOST_TEST(WaitUntil([&] {
+    this->fleet.Try(this->west, this->Look());
+    return !this->fleet.Runs(this->west).empty();
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(what_a_target_sheds_is_refused_as_not_run) {
+  for (MeshVm* vm : {&this->east, &this->west}) {
+    this->fleet.SetTarget(*vm, "sheds=1");
+  }
+  const HttpResponse response = this->fleet.Try(this->east, this->Book());
+  BOOST_TEST(response.result_int() == 503);
+  BOOST_TEST(!response["Retry-After"].empty());
+  BOOST_TEST(this->RunCount() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(spoilt_answers_reach_nobody) {
+  for (const char* behaviour : {"garbles=1", "unsigned=1"}) {
+    this->fleet.SetTarget(this->east, behaviour);
+    this->fleet.SetTarget(this->west, behaviour);
+    const std::size_t before = this->RunCount();
+    const HttpResponse response = this->fleet.Try(this->east, this->Book());
+    BOOST_TEST(response.result_int() == 502);
+    BOOST_TEST(this->RunCount() == before + 1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(caller_that_leaves_is_felt_at_the_target) {
+  this->fleet.SetTarget(this->east, "hangs=1");
+  this->fleet.SetTarget(this->west, "hangs=1");
+  Send(this->east.caller, MakeTry(this->Look(), "leaver"),
+       std::chrono::milliseconds(200));
+  BOOST_TEST(WaitUntil(
+      [&] {
+        for (MeshVm* vm : {&this->east, &this->west}) {
+          for (const boost::json::value& run : this->fleet.Runs(*vm)) {
+            if (run.at("cancelled").as_bool()) {
+              return true;
+            }
+          }
+        }
+        return false;
+      },
+      std::chrono::milliseconds(800)));
+}
+
+BOOST_AUTO_TEST_CASE(route_timeout_ends_the_wait) {
+  this->fleet.SetTarget(this->east, "hangs=1");
+  this->fleet.SetTarget(this->west, "hangs=1");
+  const TimePoint started = BootTime::now();
+  BOOST_TEST(this->fleet.Try(this->east, this->Book()).result_int() == 504);
+  BOOST_TEST((BootTime::now() - started < std::chrono::milliseconds(2400)));
+  BOOST_TEST(this->RunCount() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(node_serves_on_without_the_store_and_reads_it_anew) {
+  this->fleet.SetStoreMode("down=1");
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  BOOST_TEST(this->fleet.Try(this->east, this->Look()).result_int() == 200);
+  this->fleet.SetStoreMode("down=0&gone=1");
+  this->fleet.PublishConfiguration(2, "");
+  BOOST_TEST(WaitUntil([&] {
+    return this->fleet.Try(this->east, this->Look()).result_int() == 401;
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(cold_target_gets_no_more_than_it_bears) {
+  for (MeshVm* vm : {&this->east, &this->west}) {
+    this->fleet.SetTarget(*vm, "cold_ms=3000");
+    vm->target_proxy->ResetConnections();
+  }
+  // The dropped connections tell that the targets may have started again.
+  this->fleet.Try(this->east, this->Look());
+  this->fleet.Try(this->west, this->Look());
+  std::vector<std::thread> callers;
+  for (int caller = 0; caller < 8; ++caller) {
+    callers.emplace_back([this, caller] {
+      for (int count = 0; count < 12; ++count) {
+        Send(this->east.caller,
+             MakeTry(this->Look(), "cold-" + std::to_string(caller) + "-" +
+                                       std::to_string(count)));
+      }
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  for (MeshVm* vm : {&this->east, &this->west}) {
+    const boost::json::array runs = this->fleet.Runs(*vm);
+    for (std::size_t first = 0; first + 20 < runs.size(); ++first) {
+      // 10 a second are stated; the operators allow half more and 5.
+      BOOST_TEST(runs[first + 20].at("at_ns").as_int64() -
+                     runs[first].at("at_ns").as_int64() >
+                 1'000'000'000);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(planned_stop_cuts_no_request) {
+  this->fleet.SetTarget(this->east, "service_ms=800");
+  this->fleet.SetTarget(this->west, "service_ms=800");
+  unsigned status = 0;
+  std::thread caller([&] {
+    status = this->fleet.Try(this->east, this->Book(), "held").result_int();
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  this->east.node_process->Signal(SIGTERM);
+  caller.join();
+  BOOST_TEST(status == 200);
+  BOOST_TEST(!this->fleet.IsReady(this->east));
+  const std::optional<int> exit_status =
+      this->east.node_process->WaitForExit(std::chrono::seconds(7));
+  BOOST_TEST((exit_status == 0));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace daisywinch::test
--- /dev/null
+++ b/tests/standins/attempt_target.cc
@@ -0,0 +1,163 @@
+#include "standins/attempt_target.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "standins/query.h"
+#include "transport/http_fetch.h"
+
+namespace daisywinch::test {
+
+namespace {
+
+constexpr char kAttemptId[] = "X-Daisywinch-Attempt-Id";
+constexpr char kExpectInstance[] = "X-Daisywinch-Expect-Instance";
+constexpr char kInstanceId[] = "X-Daisywinch-Instance-Id";
+constexpr char kNotExecuted[] = "X-Daisywinch-Not-Executed";
+constexpr char kSignature[] = "X-Daisywinch-Response-Signature";
+constexpr char kColdLeft[] = "X-Daisywinch-Cold-Start-Ms";
+constexpr char kTimeoutBudget[] = "X-Daisywinch-Timeout-Budget-Ms";
+constexpr char kOnward[] = "X-Onward";
+
+}  // namespace
+
+AttemptTarget::AttemptTarget(asio::io_context& context,
+                             const Address& address,
+                             const Address& node_address,
+                             std::string id)
+    : context(context),
+      address(address),
+      node_address(node_address),
+      id(std::move(id)),
+      server(context,
+             HttpLimits(),
+             [this](HttpRequest request,
+                    std::shared_ptr<Cancellation> cancellation) {
+               return this->Handle(std::move(request), std::move(cancellation));
+             }) {}
+
+bool AttemptTarget::Listen() {
+  return !this->server.Listen(this->address);
+}
+
+Awaitable<HttpResponse> AttemptTarget::Handle(
+    HttpRequest request,
+    std::shared_ptr<Cancellation> cancellation) {
+  const std::string target(request.target());
+  if (target.starts_with("/test/")) {
+    co_return this->Test(request);
+  }
+  if (target == "/health") {
+    HttpResponse response(http::status::ok, 11);
+    response.set(kInstanceId, this->id);
+    if (this->cold_left > Duration::zero()) {
+      response.set(
+          kColdLeft,
+          std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                             this->cold_left)
+                             .count()));
+    }
+    response.prepare_payload();
+    co_return response;
+  }
+  const std::string_view expected = request[kExpectInstance];
+  if (!expected.empty() && expected != this->id) {
+    co_return this->MakeAnswer(request, http::status::misdirected_request);
+  }
+  if (this->sheds) {
+    HttpResponse response =
+        this->MakeAnswer(request, http::status::service_unavailable);
+    response.set(kNotExecuted, "1");
+    co_return response;
+  }
+  co_return co_await this->Serve(std::move(request), std::move(cancellation));
+}
+
+Awaitable<HttpResponse> AttemptTarget::Serve(
+    HttpRequest request,
+    std::shared_ptr<Cancellation> cancellation) {
+  const std::shared_ptr<Run> run = std::make_shared<Run>();
+  run->path = std::string(request.target());
+  run->body = request.body();
+  run->at = BootTime::now();
+  for (const http::fields::value_type& field : request) {
+    run->headers[field.name_string()] = field.value();
+  }
+  this->runs.push_back(run);
+  const std::shared_ptr<Timer> work = std::make_shared<Timer>(
+      this->context,
+      this->hangs ? std::chrono::seconds(60) : this->service_time);
+  cancellation->SetAction([work] { work->cancel(); });
+  ErrorCode ignored;
+  co_await work->async_wait(Await(ignored));
+  cancellation->ClearAction();
+  run->cancelled = cancellation->IsCancelled();
+  bool is_onward_served = true;
+  if (!run->cancelled && !std::string_view(request[kOnward]).empty()) {
+    is_onward_served = co_await this->CallOnward(request);
+  }
+  const bool has_failed = this->fails || !is_onward_served;
+  HttpResponse response =
+      this->MakeAnswer(request, has_failed ? http::status::internal_server_error
+                                           : http::status::ok);
+  if (!this->is_unsigned) {
+    response.set(kSignature, "signed-by-" + this->id);
+  }
+  if (this->garbles) {
+    response.set(kAttemptId, "of-another-request");
+  }
+  response.body() = "ran " + std::string(request.target());
+  response.prepare_payload();
+  co_return response;
+}
+
+Awaitable<bool> AttemptTarget::CallOnward(const HttpRequest& request) {
+  const std::string path(request[kOnward]);
+  HttpRequest onward(http::verb::get, path, 11);
+  onward.set(kAttemptId,
+             this->id + "-onward-" + std::to_string(this->onward_count++));
+  onward.set(kTimeoutBudget, std::string(request[kTimeoutBudget]));
+  ErrorCode error;
+  const std::optional<HttpResponse> response = co_await Fetch(
+      this->context, this->node_address, std::move(onward), {}, error);
+  co_return response && response->result() == http::status::ok;
+}
+
+HttpResponse AttemptTarget::MakeAnswer(const HttpRequest& request,
+                                       http::status status) {
+  HttpResponse response(status, 11);
+  response.set(kAttemptId, std::string(request[kAttemptId]));
+  response.set(kInstanceId, this->id);
+  response.prepare_payload();
+  return response;
+}
+
+HttpResponse AttemptTarget::Test(const HttpRequest& request) {
+  const std::string target(request.target());
+  HttpResponse response(http::status::ok, 11);
+  if (target.starts_with("/test/behaviour")) {
+    this->service_time =
+        std::chrono::milliseconds(QueryNumber(target, "service_ms", 5));
+    this->cold_left =
+        std::chrono::milliseconds(QueryNumber(target, "cold_ms", 0));
+    this->sheds = QueryNumber(target, "sheds", 0) != 0;
+    this->garbles = QueryNumber(target, "garbles", 0) != 0;
+    this->is_unsigned = QueryNumber(target, "unsigned", 0) != 0;
+    this->hangs = QueryNumber(target, "hangs", 0) != 0;
+    this->fails = QueryNumber(target, "fails", 0) != 0;
+  } else {
+    boost::json::array log;
+    for (const std::shared_ptr<Run>& run : this->runs) {
+      log.push_back({{"path", run->path},
+                     {"headers", run->headers},
+                     {"body", run->body},
+                     {"at_ns", run->at.time_since_epoch().count()},
+                     {"cancelled", run->cancelled}});
+    }
+    response.body() = boost::json::serialize(log);
+  }
+  response.prepare_payload();
+  return response;
+}
+
+}  // namespace daisywinch::test
--- /dev/null
+++ b/tests/standins/store.cc
@@ -0,0 +1,166 @@
+#include "standins/store.h"
+
+#include <openssl/evp.h>
+
+#include <utility>
+
+#include "standins/query.h"
+
+namespace daisywinch::test {
+
+namespace {
+
+/// Small, so that a few keys already need several pages.
+constexpr std::size_t kPageSize = 3;
+
+std::string EncodeBase64(const std::string& bytes) {
+  std::string text((bytes.size() + 2) / 3 * 4, '\0');
+  // The function ends the text with a zero byte of its own.
+  text.push_back('\0');
+  const int count =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                      reinterpret_cast<const unsigned char*>(bytes.data()),
+                      static_cast<int>(bytes.size()));
+  text.resize(count);
+  return text;
+}
+
+HttpResponse MakeStatus(http::status status) {
+  HttpResponse response(status, 11);
+  response.prepare_payload();
+  return response;
+}
+
+}  // namespace
+
+Store::Store(asio::io_context& context, const Address& address)
+    : context(context),
+      address(address),
+      server(context,
+             HttpLimits(),
+             [this](HttpRequest request, std::shared_ptr<Cancellation>) {
+               return this->Handle(std::move(request));
+             }) {}
+
+bool Store::Listen() {
+  return !this->server.Listen(this->address);
+}
+
+Awaitable<HttpResponse> Store::Handle(HttpRequest request) {
+  const std::string target(request.target());
+  if (target.starts_with("/test/")) {
+    co_return this->Test(request);
+  }
+  ++this->reads;
+  if (this->is_down) {
+    co_return MakeStatus(http::status::service_unavailable);
+  }
+  if (target.starts_with("/kv-range")) {
+    co_return this->List(target);
+  }
+  if (target.starts_with("/kv-watch")) {
+    co_return co_await this->Watch(target);
+  }
+  co_return MakeStatus(http::status::not_found);
+}
+
+HttpResponse Store::List(const std::string& target) const {
+  const std::string prefix = QueryText(target, "Prefix").value_or("");
+  const std::string after = QueryText(target, "after").value_or("");
+  boost::json::array page;
+  bool has_more = false;
+  for (const auto& [key, item] : this->items) {
+    if (!key.starts_with(prefix) || key <= after) {
+      continue;
+    }
+    if (page.size() == kPageSize) {
+      has_more = true;
+      break;
+    }
+    page.push_back(Describe(item));
+  }
+  return this->Answer({{"items", page}, {"HasMore", has_more}});
+}
+
+Awaitable<HttpResponse> Store::Watch(std::string target) {
+  const std::string prefix = QueryText(target, "Prefix").value_or("");
+  const std::uint64_t after = QueryNumber(target, "after", 0);
+  const TimePoint latest =
+      BootTime::now() +
+      std::chrono::milliseconds(QueryNumber(target, "WaitMs", 0));
+  while (true) {
+    if (this->is_down) {
+      co_return MakeStatus(http::status::service_unavailable);
+    }
+    if (after < this->forgotten) {
+      co_return MakeStatus(http::status::gone);
+    }
+    boost::json::array events;
+    for (const Change& change : this->history) {
+      if (change.revision > after && change.key.starts_with(prefix)) {
+        events.push_back(Describe(change));
+      }
+    }
+    if (!events.empty() || BootTime::now() >= latest) {
+      co_return this->Answer({{"events", events}});
+    }
+    const std::shared_ptr<Timer> timer =
+        std::make_shared<Timer>(this->context, latest);
+    this->watches.push_back(timer);
+    ErrorCode ignored;
+    co_await timer->async_wait(Await(ignored));
+  }
+}
+
+HttpResponse Store::Test(const HttpRequest& request) {
+  const std::string target(request.target());
+  if (target.starts_with("/test/key")) {
+    const std::string key = QueryText(target, "Key").value_or("");
+    const bool is_removed = request.method() == http::verb::delete_;
+    this->Apply({key, request.body(), 0, is_removed});
+  } else if (target.starts_with("/test/mode")) {
+    this->is_down = QueryNumber(target, "down", 0) != 0;
+    if (QueryNumber(target, "gone", 0) != 0) {
+      this->forgotten = this->revision;
+      this->history.clear();
+    }
+  }
+  for (const std::weak_ptr<Timer>& weak : std::exchange(this->watches, {})) {
+    if (const std::shared_ptr<Timer> timer = weak.lock()) {
+      timer->cancel();
+    }
+  }
+  return this->Answer({{"reads", this->reads}});
+}
+
+void Store::Apply(Change change) {
+  change.revision = ++this->revision;
+  if (change.is_removed) {
+    this->items.erase(change.key);
+  } else {
+    this->items[change.key] = change;
+  }
+  this->history.push_back(std::move(change));
+}
+
+boost::json::object Store::Describe(const Change& change) {
+  if (change.is_removed) {
+    return {{"Key", change.key}, {"Rev", change.revision}, {"Removed", true}};
+  }
+  return {{"Key", change.key},
+          {"Value", EncodeBase64(change.value)},
+          {"Rev", change.revision},
+          {"CreateRevision", change.revision},
+          {"Lease", 0}};
+}
+
+HttpResponse Store::Answer(boost::json::object body) const {
+  body["StoreRevision"] = this->revision;
+  HttpResponse response(http::status::ok, 11);
+  response.set(http::field::content_type, "application/json");
+  response.body() = boost::json::serialize(body);
+  response.prepare_payload();
+  return response;
+}
+
+}  // namespace daisywinch::test
--- /dev/null
+++ b/tests/standins/store.h
@@ -0,0 +1,62 @@
+#ifndef DAISYWINCH_TESTS_STANDINS_STORE_H
+#define DAISYWINCH_TESTS_STANDINS_STORE_H
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/json.hpp>
+
+#include "transport/asio.h"
+#include "transport/cancellation.h"
+#include "transport/http.h"
+#include "transport/http_server.h"
+
+namespace daisywinch::test {
+
+/// Stand-in for the store of the users' platform: keys with revisions that can
+/// be listed by pages and watched.
+///
+/// Paths that begin with /test/ belong to the test: PUT /test/key?Key=NAME
+/// writes, DELETE removes, /test/mode?down=1&gone=1 changes how it behaves.
+class Store {
+ public:
+  Store(asio::io_context& context, const Address& address);
+
+  bool Listen();
+
+ private:
+  struct Change {
+    std::string key;
+    std::string value;
+    std::uint64_t revision = 0;
+    bool is_removed = false;
+  };
+
+  Awaitable<HttpResponse> Handle(HttpRequest request);
+  HttpResponse List(const std::string& target) const;
+  Awaitable<HttpResponse> Watch(std::string target);
+  HttpResponse Test(const HttpRequest& request);
+  void Apply(Change change);
+  HttpResponse Answer(boost::json::object body) const;
+  static boost::json::object Describe(const Change& change);
+
+  asio::io_context& context;
+  Address address;
+  HttpServer server;
+  std::map<std::string, Change> items;
+  std::vector<Change> history;
+  std::uint64_t revision = 1;
+  /// Changes up to this revision are no longer kept.
+  std::uint64_t forgotten = 0;
+  bool is_down = false;
+  std::uint64_t reads = 0;
+  std::list<std::weak_ptr<Timer>> watches;
+};
+
+}  // namespace daisywinch::test
+
+#endif  // DAISYWINCH_TESTS_STANDINS_STORE_H
