--- a/src/daisywinch/commands.cc
+++ b/src/daisywinch/commands.cc
@@ -9,6 +9,8 @@
 #include <optional>
 #include <sstream>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <absl/flags/flag.h>
 
@@ -37,6 +39,11 @@
 ABSL_FLAG(std::string, output, "", "file to write; standard output if empty");
 ABSL_FLAG(std::string, node, "", "operator address of a node, IP:PORT");
 ABSL_FLAG(std::string, customer, "", "name of a customer; all if empty");
+ABSL_FLAG(std::string, request, "", "id of a request to tell the story of");
+ABSL_FLAG(std::vector<std::string>,
+          logs,
+          {},
+          "logs of nodes, separated by commas; standard input if empty");
 ABSL_FLAG(bool, verbose, false, "log information, not only warnings");
 
 namespace daisywinch {
@@ -123,6 +130,7 @@
                                                   : Severity::kWarning);
   NodeType node(*settings);
   const int status = node.Run();
+  FlushEventLog();
   // The process ends here, with its work done and its log written: taking down
   // control sockets that peers still use can take longer than it is worth.
   std::_Exit(status);
@@ -237,7 +245,47 @@
   return Ask("/status");
 }
 
+/// Tells the story of one request from the logs of several nodes: its lines in
+/// the order of time, each with the log that it stands in.
+int ExplainRequest(const std::string& request) {
+  std::vector<std::pair<std::string, std::string>> lines;
+  const auto collect = [&](std::istream& input, const std::string& name) {
+    std::string line;
+    while (std::getline(input, line)) {
+      if (line.find("request=\"" + request + "\"") != std::string::npos) {
+        lines.emplace_back(line, name);
+      }
+    }
+  };
+  const std::vector<std::string> names = absl::GetFlag(FLAGS_logs);
+  if (names.empty()) {
+    collect(std::cin, "standard input");
+  }
+  for (const std::string& name : names) {
+    std::ifstream file(name);
+    if (!file) {
+      std::cerr << name << ": cannot be read; check the name and its rights\n";
+      return EXIT_FAILURE;
+    }
+    collect(file, name);
+  }
+  std::stable_sort(lines.begin(), lines.end());
+  for (const auto& [line, name] : lines) {
+    std::cout << line << " log=\"" << name << "\"\n";
+  }
+  if (lines.empty()) {
+    std::cerr << "no line tells of request " << request
+              << "; name the logs of all nodes with --logs, and see left_out "
+                 "for lines that were not written\n";
+  }
+  return lines.empty() ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
 int RunExplain() {
+  const std::string request = absl::GetFlag(FLAGS_request);
+  if (!request.empty()) {
+    return ExplainRequest(request);
+  }
   return Ask("/explain?customer=" + absl::GetFlag(FLAGS_customer));
 }
 
@@ -257,7 +305,9 @@
     Command{"status", "tells what a node believes",
             "daisywinch status --node=IP:PORT", RunStatus},
     Command{"explain", "tells why the last requests were refused",
-            "daisywinch explain --node=IP:PORT [--customer=NAME]", RunExplain},
+            "daisywinch explain --node=IP:PORT [--customer=NAME]\n  "
+            "daisywinch explain --request=ID [--logs=FILE,...]",
+            RunExplain},
 };
 
 }  // namespace
--- a/src/node/mesh_entry.cc
+++ b/src/node/mesh_entry.cc
@@ -89,6 +89,7 @@
       chooser(settings.data_centre, seed),
       ledger(settings.bounds),
       demand(demand),
+      lines(clock.Now()),
       random(seed) {}
 
 Awaitable<HttpResponse> MeshEntry::Handle(
@@ -99,6 +100,7 @@
   const RefusalReason reason = this->Admit(request, call);
   if (reason != RefusalReason::kNone) {
     this->Record(call, static_cast<std::uint32_t>(reason), Duration::zero());
+    this->LogEnd(call, MakeRefusedReply(reason));
     co_return this->MakeRefusal(call, reason, true);
   }
   protocol::CallReply reply =
@@ -107,6 +109,7 @@
       reply.outcome() == protocol::OUTCOME_ANSWERED ? 0 : reply.reason();
   this->Record(call, number,
                std::chrono::microseconds(reply.target_microseconds()));
+  this->LogEnd(call, reply);
   co_return this->MakeAnswer(call, std::move(reply));
 }
 
@@ -206,6 +209,7 @@
       co_return reply;
     }
     tried.insert(target->id);
+    call.tried += (call.tried.empty() ? "" : ",") + target->id;
     reply = co_await this->SendOnce(call, *target, cancellation);
     targets_reached += reply.reached_target() || !reply.has_load() ? 1 : 0;
     if (cancellation->IsCancelled() || this->clock.Now() >= call.deadline) {
@@ -374,6 +378,45 @@
   }
 }
 
+void MeshEntry::LogEnd(const Call& call, const protocol::CallReply& reply) {
+  const TimePoint now = this->clock.Now();
+  const bool is_answered = reply.outcome() == protocol::OUTCOME_ANSWERED;
+  const bool has_failed =
+      !is_answered || static_cast<int>(reply.status()) >= kServerError;
+  const std::optional<std::uint64_t> left_out =
+      this->lines.Take(has_failed, now);
+  if (!left_out) {
+    return;
+  }
+  const auto part =
+      call.route == nullptr
+          ? this->admitted_parts.end()
+          : this->admitted_parts.find({call.route->name, call.priority});
+  LogEvent(
+      EventId::kRequestEnded,
+      {{"request", call.attempt_id},
+       {"route", call.route == nullptr ? "" : call.route->name},
+       {"customer", call.customer},
+       {"rank", call.priority},
+       {"root", call.is_root ? "true" : "false"},
+       {"service", call.service},
+       {"targets", call.tried},
+       {"outcome", is_answered                                    ? "answered"
+                   : reply.outcome() == protocol::OUTCOME_NOT_RUN ? "not-run"
+                                                                  : "unknown"},
+       {"status", reply.status()},
+       {"reason", is_answered ? 0 : reply.reason()},
+       {"microseconds", ToMicroseconds(now - call.started)},
+       {"in_target", reply.target_microseconds()},
+       {"configuration",
+        call.configuration ? call.configuration->Version() : 0},
+       {"admitted_part", part == this->admitted_parts.end()
+                             ? std::string("1")
+                             : std::to_string(part->second)},
+       {"part_age", ToMicroseconds(now - this->parts_computed_at)},
+       {"left_out", *left_out}});
+}
+
 void MeshEntry::ReportOverRate(const Call& call) {
   TimePoint& reported_at = this->over_rate_reported_at[call.customer];
   if (call.started - reported_at < kOverRateInterval) {
@@ -383,7 +426,7 @@
   LogEvent(
       EventId::kCustomerOverRate,
       {{"customer", call.customer},
-       {"attempt", call.attempt_id},
+       {"request", call.attempt_id},
        {"account", this->ledger.DescribeAccount(call.customer, call.started)}});
 }
 
--- a/src/node/mesh_entry.h
+++ b/src/node/mesh_entry.h
@@ -18,6 +18,7 @@
 #include "protocol/news_codec.h"
 #include "state/clock.h"
 #include "state/gate_chooser.h"
+#include "state/line_limiter.h"
 #include "state/mesh_settings.h"
 #include "state/mesh_view.h"
 #include "state/part_splitter.h"
@@ -72,6 +73,8 @@
     bool is_root = true;
     TimePoint started;
     TimePoint deadline;
+    /// Targets that the call was sent to, for the log.
+    std::string tried;
     protocol::CallRequest message;
   };
 
@@ -101,6 +104,8 @@
                            bool has_not_run);
   Duration RetryAfter(const Call& call, RefusalReason reason);
   void Record(const Call& call, std::uint32_t reason, Duration in_target);
+  /// Writes how the request ended, and what that stood on.
+  void LogEnd(const Call& call, const protocol::CallReply& reply);
 
   const Clock& clock;
   std::string service;
@@ -126,6 +131,7 @@
   TimePoint admission_reported_at;
   std::unordered_map<std::string, RetryBudget> retries;
   CallMetrics metrics;
+  LineLimiter lines;
   std::mt19937_64 random;
 };
 
--- a/src/node/mesh_gate.cc
+++ b/src/node/mesh_gate.cc
@@ -55,6 +55,7 @@
       views(views),
       demand(demand),
       target(context, settings.target_address, kBodyLimit),
+      lines(clock.Now()),
       queue(1),
       work(kInitialWork) {}
 
@@ -66,9 +67,14 @@
     protocol::CallRequest request,
     std::shared_ptr<Cancellation> cancellation) {
   ++this->calls_in_progress;
+  const TimePoint started = this->clock.Now();
+  const std::string attempt_id = request.attempt_id();
   protocol::CallReply reply =
       co_await this->Decide(std::move(request), std::move(cancellation));
   --this->calls_in_progress;
+  if (reply.outcome() != protocol::OUTCOME_ANSWERED) {
+    this->LogBadEnd(attempt_id, reply, this->clock.Now() - started);
+  }
   this->AddLoad(reply);
   co_return reply;
 }
@@ -355,6 +361,32 @@
   }
 }
 
+void MeshGate::LogBadEnd(const std::string& attempt_id,
+                         const protocol::CallReply& reply,
+                         Duration waited) {
+  const TimePoint now = this->clock.Now();
+  const std::optional<std::uint64_t> left_out = this->lines.Take(true, now);
+  if (!left_out) {
+    return;
+  }
+  const RefusalReason reason = static_cast<RefusalReason>(reply.reason());
+  LogEvent(
+      EventId::kCallEnded,
+      {{"request", attempt_id},
+       {"target", this->own_target == nullptr ? "" : this->own_target->id},
+       {"outcome",
+        reply.outcome() == protocol::OUTCOME_NOT_RUN ? "not-run" : "unknown"},
+       {"reason", reply.reason()},
+       {"title", Describe(reason).title},
+       {"reached_target", reply.reached_target() ? "true" : "false"},
+       {"microseconds", ToMicroseconds(waited)},
+       {"in_flight", static_cast<std::uint64_t>(this->in_flight)},
+       {"queued", static_cast<std::uint64_t>(this->queue.Size())},
+       {"limit", static_cast<std::uint64_t>(this->limit)},
+       {"cold", this->temperature.IsCold(now) ? "true" : "false"},
+       {"left_out", *left_out}});
+}
+
 boost::json::object MeshGate::Status() const {
   return {{"in_flight", this->in_flight},
           {"queued", this->queue.Size()},
--- a/src/node/mesh_gate.h
+++ b/src/node/mesh_gate.h
@@ -14,6 +14,7 @@
 #include "state/clock.h"
 #include "state/cold_allowance.h"
 #include "state/decayed_rate.h"
+#include "state/line_limiter.h"
 #include "state/mesh_settings.h"
 #include "state/mesh_view.h"
 #include "state/refusal.h"
@@ -103,6 +104,10 @@
   Awaitable<> CheckHealth();
   Awaitable<> CheckHealthOnce();
   void ReportTemperature();
+  /// Writes a call that was refused or ended badly, and what that stood on.
+  void LogBadEnd(const std::string& attempt_id,
+                 const protocol::CallReply& reply,
+                 Duration waited);
   void AddLoad(protocol::CallReply& reply) const;
 
   asio::io_context& context;
@@ -115,6 +120,7 @@
   const MeshTarget* own_target = nullptr;
   std::string health_path;
   TargetClient target;
+  LineLimiter lines;
   TargetTemperature temperature;
   ColdAllowance cold_allowance;
   SlotQueue queue;
--- a/src/state/event_log.cc
+++ b/src/state/event_log.cc
@@ -1,16 +1,25 @@
 #include "state/event_log.h"
 
 #include <array>
+#include <atomic>
+#include <chrono>
+#include <future>
 #include <iostream>
+#include <memory>
+#include <thread>
 
+#include <boost/core/null_deleter.hpp>
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/smart_ptr/make_shared_object.hpp>
 
 namespace daisywinch {
 
@@ -90,8 +99,41 @@
                      "customer-over-rate",
                      "Requests of a customer are refused as it is over its "
                      "rate and burst; at most once a second for each."},
+    EventDescription{EventId::kRequestEnded, kInformation, "request-ended",
+                     "An entry has answered a caller or a target. Requests "
+                     "that were served are sampled; left_out counts lines "
+                     "that were not written."},
+    EventDescription{EventId::kCallEnded, kInformation, "call-ended",
+                     "A gate refused a call or got no good answer to it from "
+                     "its target."},
 };
 
+/// Lines that may wait for the output.
+constexpr std::size_t kMostWaitingLines = 4000;
+constexpr std::chrono::milliseconds kFlushTime{200};
+
+std::atomic<std::uint64_t> dropped_lines = 0;
+
+/// What a full log queue does with the next line: counts and drops it. The
+/// names are those that the log library asks for.
+struct CountDropped {
+  template <typename Lock>
+  static bool on_overflow(const boost::log::record_view& /*record*/,
+                          Lock& /*lock*/) {
+    ++dropped_lines;
+    return false;
+  }
+  static void on_queue_space_available() {}
+  static void interrupt() {}
+};
+
+using LogBackend = boost::log::sinks::text_ostream_backend;
+using LogSink = boost::log::sinks::asynchronous_sink<
+    LogBackend,
+    boost::log::sinks::bounded_fifo_queue<kMostWaitingLines, CountDropped>>;
+
+boost::shared_ptr<LogSink> log_sink;
+
 const char* SeverityLetter(Severity severity) {
   switch (severity) {
     case Severity::kInformation:
@@ -122,18 +164,41 @@
 void InitializeEventLog(Severity lowest) {
   namespace expressions = boost::log::expressions;
   boost::log::add_common_attributes();
-  boost::log::add_console_log(
-      std::cout,
-      boost::log::keywords::format =
-          expressions::stream
-          << expressions::format_date_time<boost::posix_time::ptime>(
-                 "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-          << " " << expressions::smessage,
-      boost::log::keywords::auto_flush = true);
+  const boost::shared_ptr<LogBackend> backend =
+      boost::make_shared<LogBackend>();
+  backend->add_stream(
+      boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
+  backend->auto_flush(true);
+  log_sink = boost::make_shared<LogSink>(backend);
+  log_sink->set_formatter(
+      expressions::stream
+      << expressions::format_date_time<boost::posix_time::ptime>(
+             "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+      << " " << expressions::smessage);
+  boost::log::core::get()->add_sink(log_sink);
   boost::log::core::get()->set_filter(expressions::attr<Severity>("Severity") >=
                                       lowest);
 }
 
+std::uint64_t DroppedLogLines() {
+  return dropped_lines;
+}
+
+void FlushEventLog() {
+  if (!log_sink) {
+    return;
+  }
+  // A reader that has stopped reading must not keep the process from ending.
+  const std::shared_ptr<std::promise<void>> flushed =
+      std::make_shared<std::promise<void>>();
+  std::future<void> done = flushed->get_future();
+  std::thread([flushed, sink = log_sink] {
+    sink->flush();
+    flushed->set_value();
+  }).detach();
+  done.wait_for(kFlushTime);
+}
+
 void LogEvent(EventId id, std::initializer_list<EventField> fields) {
   static boost::log::sources::severity_logger_mt<Severity> logger;
   const EventDescription& event = Describe(id);
--- a/src/state/event_log.h
+++ b/src/state/event_log.h
@@ -39,6 +39,8 @@
   kTargetWarm = 4002,
   kAdmissionChanged = 5001,
   kCustomerOverRate = 5002,
+  kRequestEnded = 6001,
+  kCallEnded = 6002,
 };
 
 /// The fixed part of an event.
@@ -63,9 +65,18 @@
   std::string value;
 };
 
-/// Sends the log to the standard output.
+/// Sends the log to the standard output, by a thread of its own.
+///
+/// Writing an event never waits: where the output takes no more, lines are
+/// dropped and counted.
 void InitializeEventLog(Severity lowest);
 
+/// Lines that were dropped as the output took no more.
+std::uint64_t DroppedLogLines();
+
+/// Waits a short time until the lines so far are written.
+void FlushEventLog();
+
 /// Writes one event as one line.
 void LogEvent(EventId id, std::initializer_list<EventField> fields);
 
--- a/src/state/root_admission.h
+++ b/src/state/root_admission.h
@@ -15,7 +15,8 @@
   /// 0 is the highest rank.
   std::uint32_t priority = 0;
 
-  friend auto operator<=>(const RootKind&, const RootKind&) = default;
+  friend std::strong_ordering operator<=>(const RootKind&,
+                                          const RootKind&) = default;
 };
 
 /// What callers ask for of one kind and what serving it takes.
--- /dev/null
+++ b/tests/end_to_end/explain_test.cc
@@ -0,0 +1,113 @@
+// The three stories of docs/OPERATIONS.md, from a request's id to its cause, by
+// the page's own commands.
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+#include "support/mesh_fleet.h"
+#include "support/test_fleet.h"
+
+namespace daisywinch::test {
+
+namespace {
+
+struct ExplainFixture {
+  ExplainFixture()
+      : entry(fleet.AddVm("east", "front")), gate(fleet.AddVm("east", "back")) {
+    this->fleet.Start();
+  }
+
+  /// What "daisywinch explain" tells of a request by the logs of both nodes.
+  std::string Explain(const std::string& request) {
+    const std::string output = this->fleet.Folder() + "/explain.txt";
+    std::filesystem::remove(output);
+    Process explain(
+        std::string(std::getenv("DAISYWINCH_BINARIES")) + "/daisywinch",
+        {"explain", "--request=" + request,
+         "--logs=" + this->fleet.Folder() + "/" + entry.name + ".log," +
+             this->fleet.Folder() + "/" + gate.name + ".log"},
+        output);
+    explain.WaitForExit(std::chrono::seconds(5));
+    std::ifstream file(output);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+  }
+
+  /// Whether the story comes to hold a text; lines are written a little later.
+  bool StoryTells(const std::string& request, const std::string& text) {
+    return WaitUntil(
+        [&] { return this->Explain(request).find(text) != std::string::npos; },
+        std::chrono::seconds(3));
+  }
+
+  Call Stock() const {
+    Call call;
+    call.path = "/stock/1";
+    return call;
+  }
+
+  MeshFleet fleet;
+  MeshVm& entry;
+  MeshVm& gate;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(explain, ExplainFixture)
+
+BOOST_AUTO_TEST_CASE(refused_for_its_rate) {
+  Call call;
+  call.path = "/look/1";
+  call.key = "key-of-clinic";
+  std::string refused;
+  for (int count = 0; count < 60 && refused.empty(); ++count) {
+    const std::string id = "rate-" + std::to_string(count);
+    if (this->fleet.Try(this->entry, call, id).result_int() == 429) {
+      refused = id;
+    }
+  }
+  BOOST_REQUIRE(!refused.empty());
+  BOOST_TEST(this->StoryTells(refused, "reason=\"106\""));
+  BOOST_TEST(this->StoryTells(refused, "customer-over-rate"));
+  BOOST_TEST(this->StoryTells(refused, "account=\"tokens"));
+}
+
+BOOST_AUTO_TEST_CASE(timed_out_at_a_target) {
+  this->fleet.SetTarget(this->gate, "hangs=1");
+  BOOST_TEST(
+      this->fleet.Try(this->entry, this->Stock(), "slow-1").result_int() ==
+      504);
+  BOOST_TEST(this->StoryTells("slow-1", "reason=\"302\""));
+  BOOST_TEST(this->StoryTells("slow-1", "outcome=\"unknown\""));
+  BOOST_TEST(this->StoryTells("slow-1", "targets=\"i-2\""));
+}
+
+BOOST_AUTO_TEST_CASE(unknown_after_a_gate_died) {
+  this->fleet.SetTarget(this->gate, "hangs=1");
+  unsigned status = 0;
+  std::thread caller([&] {
+    status = this->fleet.Try(this->entry, this->Stock(), "lost-1").result_int();
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  this->gate.node_process->Kill();
+  caller.join();
+  BOOST_TEST(status == 502);
+  BOOST_TEST(this->StoryTells("lost-1", "reason=\"301\""));
+}
+
+BOOST_AUTO_TEST_CASE(request_without_a_line_is_told_with_the_remedy) {
+  const std::string story = this->Explain("nobody");
+  BOOST_TEST(story.find("no line tells of request nobody") !=
+             std::string::npos);
+  BOOST_TEST(story.find("--logs") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace daisywinch::test
