--- a/src/node/mesh_entry.cc
+++ b/src/node/mesh_entry.cc
@@ -324,10 +324,10 @@
 }
 
 TrafficNews MeshEntry::TellNews(NodeLoad load) {
-  constexpr double least_rate = 0.05;
+  constexpr double kLeastRate = 0.05;
   const TimePoint now = this->clock.Now();
   for (const auto& [kind, rate] : this->root_rates) {
-    if (rate.PerSecond(now) >= least_rate) {
+    if (rate.PerSecond(now) >= kLeastRate) {
       load.roots[kind] = rate.PerSecond(now);
     }
   }
--- a/src/node/mesh_gate.cc
+++ b/src/node/mesh_gate.cc
@@ -230,11 +230,11 @@
 }
 
 Awaitable<> MeshGate::PaceColdStart() {
-  constexpr std::chrono::milliseconds least_pause{2};
+  constexpr std::chrono::milliseconds kLeastPause{2};
   const TimePoint now = this->clock.Now();
   const std::optional<TimePoint> next = this->cold_allowance.NextRoom(now);
   Timer timer(this->context,
-              std::max<TimePoint>(next.value_or(now), now + least_pause));
+              std::max<TimePoint>(next.value_or(now), now + kLeastPause));
   ErrorCode ignored;
   co_await timer.async_wait(Await(ignored));
   this->pacing = false;
@@ -254,7 +254,7 @@
     TimePoint deadline,
     std::shared_ptr<Cancellation> cancellation) {
   const TimePoint started = this->clock.Now();
-  const std::string route = request.route();
+  const std::string& route = request.route();
   this->demand.RunStarted(route, started);
   TargetExchange exchange = co_await this->target.Send(
       platform::MakeTargetRequest(request, deadline - started), deadline,
--- a/src/platform/store_calls.cc
+++ b/src/platform/store_calls.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <iterator>
 
 #include <openssl/evp.h>
 
@@ -14,7 +15,7 @@
 constexpr NumberRange kRevisionRange = {0, 9e15};
 
 std::string EncodeQuery(std::string_view text) {
-  constexpr std::string_view digits = "0123456789ABCDEF";
+  constexpr std::string_view kDigits = "0123456789ABCDEF";
   std::string encoded;
   for (const char character : text) {
     const unsigned char byte = static_cast<unsigned char>(character);
@@ -23,8 +24,8 @@
       encoded += character;
     } else {
       encoded += '%';
-      encoded += digits[byte / 16];
-      encoded += digits[byte % 16];
+      encoded += kDigits[byte / 16];
+      encoded += kDigits[byte % 16];
     }
   }
   return encoded;
@@ -45,8 +46,9 @@
   if (count < 0) {
     return {};
   }
-  const std::ptrdiff_t padding = std::count(
-      text.end() - std::min<std::size_t>(2, text.size()), text.end(), '=');
+  const std::ptrdiff_t padding =
+      std::count(text.end() - std::min<std::ptrdiff_t>(2, std::ssize(text)),
+                 text.end(), '=');
   bytes.resize(count - padding);
   return bytes;
 }
--- a/src/state/gate_chooser.cc
+++ b/src/state/gate_chooser.cc
@@ -43,8 +43,8 @@
 /// Expected wait for one of `slots` busy to the part `load`, in units of the
 /// mean work.
 double ExpectedWait(double load, double slots) {
-  constexpr double highest_load = 0.99;
-  const double bounded = std::min(load, highest_load);
+  constexpr double kHighestLoad = 0.99;
+  const double bounded = std::min(load, kHighestLoad);
   const double queueing = std::pow(bounded, std::sqrt(2 * (slots + 1)) - 1) /
                           (slots * (1 - bounded));
   return queueing + std::max(0.0, load - 1);
--- a/src/state/root_admission.cc
+++ b/src/state/root_admission.cc
@@ -83,6 +83,7 @@
   }
   const std::string shortest = ShortestService(offers, slots);
   std::vector<const RootOffer*> order;
+  order.reserve(offers.size());
   for (const RootOffer& offer : offers) {
     order.push_back(&offer);
   }
--- a/src/state/root_admission.h
+++ b/src/state/root_admission.h
@@ -1,10 +1,10 @@
 #ifndef DAISYWINCH_STATE_ROOT_ADMISSION_H
 #define DAISYWINCH_STATE_ROOT_ADMISSION_H
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace daisywinch {
@@ -15,8 +15,10 @@
   /// 0 is the highest rank.
   std::uint32_t priority = 0;
 
-  friend std::strong_ordering operator<=>(const RootKind&,
-                                          const RootKind&) = default;
+  friend bool operator<(const RootKind& left, const RootKind& right) {
+    return std::tie(left.route, left.priority) <
+           std::tie(right.route, right.priority);
+  }
 };
 
 /// What callers ask for of one kind and what serving it takes.
--- a/src/transport/target_client.cc
+++ b/src/transport/target_client.cc
@@ -23,14 +23,14 @@
 /// The idle time that a target states in seconds, "timeout=10"; the longest
 /// time if it states none.
 Duration IdleLimitOf(const HttpResponse& response) {
-  constexpr std::string_view name = "timeout=";
+  constexpr std::string_view kName = "timeout=";
   const std::string_view text = response[http::field::keep_alive];
-  const std::size_t start = text.find(name);
+  const std::size_t start = text.find(kName);
   if (start == std::string_view::npos) {
     return Duration::max();
   }
   int seconds = 0;
-  const char* first = text.data() + start + name.size();
+  const char* first = text.data() + start + kName.size();
   const std::from_chars_result result =
       std::from_chars(first, text.data() + text.size(), seconds);
   return result.ec == std::errc() ? Duration(std::chrono::seconds(seconds))
--- a/tests/end_to_end/fault_soak_test.cc
+++ b/tests/end_to_end/fault_soak_test.cc
@@ -107,6 +107,7 @@
 
   void Run() {
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int caller = 0; caller < kCallers; ++caller) {
       callers.emplace_back([this, caller] { this->CallOn(caller); });
     }
--- a/tests/end_to_end/mesh_path_test.cc
+++ b/tests/end_to_end/mesh_path_test.cc
@@ -215,8 +215,10 @@
   // The dropped connections tell that the targets may have started again.
   this->fleet.Try(this->east, this->Look());
   this->fleet.Try(this->west, this->Look());
+  constexpr int kCallers = 8;
   std::vector<std::thread> callers;
-  for (int caller = 0; caller < 8; ++caller) {
+  callers.reserve(kCallers);
+  for (int caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back([this, caller] {
       for (int count = 0; count < 12; ++count) {
         Send(this->east.caller,
