--- a/src/platform/attempt_messages.cc
+++ b/src/platform/attempt_messages.cc
@@ -23,7 +23,7 @@
 constexpr char kColdLeft[] = "X-Daisywinch-Cold-Start-Ms";
 constexpr char kReason[] = "X-Daisywinch-Reason";
 constexpr std::string_view kBearerPrefix = "Bearer ";
-/// Slower answers to "come back later" help nobody.
+/// Statuses from the first to below the second are successes (RFC 9110).
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 
