Tell traffic through two relays a data centre, as sums

Ruled out: thinner news to all (still 172 datagrams a second and node); appointed relays (a failure needs agreement): whoever is told news relays.

A node tells two VMs of its data centre, which tell it the sum of all others and exchange sums with the other data centres. A silent node or data centre is reckoned with its part of each customer's rate. What views cost by publishing is linear in the targets now.

--- a/src/coordination/customer_ledger.cc
+++ b/src/coordination/customer_ledger.cc
@@ -19,8 +19,10 @@
 /// Part of the allowance by which rate and burst are widened, so that a copy
 /// that is a little behind refuses nothing that the customer is owed.
 constexpr double kWidening = 0.3;
-/// Demand in requests per second that counts although it was not told.
-constexpr double kUntoldDemand = 0.1;
+/// Demand in requests per second that counts at each node although it was not
+/// told, and the part of a customer's rate that it makes up at most.
+constexpr double kMostUntoldDemand = 0.1;
+constexpr double kUntoldPart = 0.1;
 /// Requests that a node may take at once of its part.
 constexpr double kLeastOwnTokens = 2;
 /// Time after its last news in which a node counts as heard: two may be lost.
@@ -77,7 +79,8 @@
   std::map<std::string, PeerUse> next;
   for (const auto& [customer, use] : uses) {
     PeerUse& last = peer.uses[customer];
-    PeerUse told = {use.admitted, use.demand, 0};
+    // Counts of another run compare with nothing; the pace goes on meanwhile.
+    PeerUse told = {use.admitted, use.demand, last.pace};
     if (is_known && use.admitted >= last.admitted && span > kLeastSpan) {
       const double taken = static_cast<double>(use.admitted - last.admitted);
       told.pace = taken / span;
@@ -99,6 +102,7 @@
 }
 
 void CustomerLedger::SetNodes(const std::set<std::string>& nodes,
+                              std::size_t size,
                               TimePoint now) {
   for (auto& [name, account] : this->accounts) {
     Refill(account, this->PartOf(account, now), now);
@@ -110,7 +114,8 @@
     return !nodes.contains(peer.first) && is_over;
   });
   this->other_nodes = nodes;
-  const double equal_part = 1.0 / static_cast<double>(nodes.size() + 1);
+  this->fleet_size = std::max<std::size_t>(1, size);
+  const double equal_part = 1.0 / static_cast<double>(this->fleet_size);
   for (auto& [name, account] : this->accounts) {
     account.agreed_part =
         std::max(account.agreed_part, account.told_demand > 0 ? 0 : equal_part);
@@ -135,10 +140,12 @@
 }
 
 double CustomerLedger::PartOf(Account& account, TimePoint now) const {
-  const double own = account.told_demand + kUntoldDemand;
+  const double nodes = static_cast<double>(this->fleet_size);
+  const double untold =
+      std::min(kMostUntoldDemand, kUntoldPart * account.rate / nodes);
+  const double own = account.told_demand + untold;
   const double part =
-      own / (own + account.others_demand +
-             kUntoldDemand * static_cast<double>(this->other_nodes.size()));
+      own / (own + account.others_demand + untold * (nodes - 1));
   if (this->IsAnyoneSilent(now)) {
     return std::min(part, account.agreed_part);
   }
@@ -205,7 +212,7 @@
             static_cast<double>(account.admitted - account.told_admitted) -
             expected;
         const double share = kErrorPart * this->AllowanceOf(account) /
-                             static_cast<double>(this->other_nodes.size() + 1);
+                             static_cast<double>(this->fleet_size);
         return account.rate > 0 && unexpected > std::max(kFewRequests, share);
       });
 }
--- a/src/coordination/customer_ledger.h
+++ b/src/coordination/customer_ledger.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "coordination/traffic_sum.h"
 #include "state/clock.h"
 #include "state/decayed_rate.h"
 #include "state/mesh_configuration.h"
@@ -15,14 +16,6 @@
 
 namespace daisywinch {
 
-/// What a node tells of one customer.
-struct CustomerUse {
-  /// Requests that the node has admitted since it started.
-  std::uint64_t admitted = 0;
-  /// Requests per second that the node is asked for.
-  double demand = 0;
-};
-
 /// Holds each customer to its rate and burst over the whole fleet.
 ///
 /// Every node keeps a copy of the customer's one token bucket: it takes a
@@ -40,7 +33,8 @@
 
   void Configure(const MeshConfiguration& configuration, TimePoint now);
 
-  /// Takes what another node tells. `incarnation` names one run of it.
+  /// Takes what another node tells, or a relay for all others under one name.
+  /// `incarnation` names the run that counts.
   void TakeNews(const std::string& node,
                 std::uint64_t incarnation,
                 const std::map<std::string, CustomerUse>& uses,
@@ -48,7 +42,10 @@
                 TimePoint now);
   /// Sets the other nodes that may admit requests. One that is no longer among
   /// them and did not say that it stops is remembered for a while.
-  void SetNodes(const std::set<std::string>& nodes, TimePoint now);
+  /// `fleet_size` counts the nodes that they stand for and this one.
+  void SetNodes(const std::set<std::string>& nodes,
+                std::size_t fleet_size,
+                TimePoint now);
 
   /// Counts a request of the customer; whether it is within rate and burst.
   bool Take(const std::string& customer, TimePoint now);
@@ -116,6 +113,7 @@
   std::unordered_map<std::string, Account> accounts;
   std::map<std::string, Peer> peers;
   std::set<std::string> other_nodes;
+  std::size_t fleet_size = 1;
   std::optional<TimePoint> configured_at;
 };
 
--- a/src/coordination/fleet_load.cc
+++ b/src/coordination/fleet_load.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
+#include <vector>
 
 namespace daisywinch {
 
@@ -25,8 +27,6 @@
 constexpr int kDeepest = 10;
 /// Calls per run below which a call is taken for noise of the learning.
 constexpr double kLeastCalls = 0.02;
-/// Weight of a node's rows besides its rate of runs.
-constexpr double kRowWeight = 0.01;
 
 /// "service demand/slots" in slots, for each service.
 std::string DescribeDemand(const std::vector<RootOffer>& offers,
@@ -52,39 +52,26 @@
 void FleetLoad::Take(const std::string& node,
                      const NodeLoad& load,
                      TimePoint now) {
-  this->nodes[node] = {load, now};
-  std::erase_if(this->nodes, [now](const auto& entry) {
+  LoadSum sum;
+  AddTo(sum, load);
+  this->TakeSum(node, std::move(sum), now);
+}
+
+void FleetLoad::TakeSum(const std::string& nodes, LoadSum sum, TimePoint now) {
+  this->heard[nodes] = {std::move(sum), now};
+  std::erase_if(this->heard, [now](const auto& entry) {
     return now - entry.second.heard_at > kNewsAge;
   });
 }
 
-FleetLoad::CostTable FleetLoad::MeanCosts(TimePoint now) const {
-  CostTable means;
-  std::map<std::string, double> weights;
-  for (const auto& [name, node] : this->nodes) {
-    if (now - node.heard_at > kNewsAge) {
-      continue;
-    }
-    for (const RouteCost& cost : node.load.costs) {
-      const double weight = cost.rate + kRowWeight;
-      RouteCost& mean = means[cost.route];
-      mean.route = cost.route;
-      mean.rate += cost.rate;
-      mean.slot_seconds += weight * cost.slot_seconds;
-      for (const auto& [callee, calls] : cost.onward) {
-        mean.onward[callee] += weight * calls;
-      }
-      weights[cost.route] += weight;
-    }
-  }
-  for (auto& [route, mean] : means) {
-    const double weight = weights[route];
-    mean.slot_seconds /= weight;
-    for (auto& [callee, calls] : mean.onward) {
-      calls /= weight;
+LoadSum FleetLoad::Sum(TimePoint now) const {
+  LoadSum sum;
+  for (const auto& [name, one] : this->heard) {
+    if (now - one.heard_at <= kNewsAge) {
+      AddTo(sum, one.load);
     }
   }
-  return means;
+  return sum;
 }
 
 void FleetLoad::AddCost(const MeshConfiguration& configuration,
@@ -118,30 +105,23 @@
     const std::string& route,
     TimePoint now) const {
   std::map<std::string, double> sums;
-  AddCost(configuration, this->MeanCosts(now), route, 1, 0, sums);
+  AddCost(configuration, this->Sum(now).costs, route, 1, 0, sums);
   return sums;
 }
 
-void FleetLoad::CorrectSupply(TimePoint now) {
+void FleetLoad::CorrectSupply(const LoadSum& sum, TimePoint now) {
   if (now - this->corrected_at < kCorrectionInterval) {
     return;
   }
   this->corrected_at = now;
-  std::map<std::string, double> slots;
-  std::map<std::string, double> refused;
-  for (const auto& [name, node] : this->nodes) {
-    if (now - node.heard_at <= kNewsAge) {
-      slots[node.load.service] += node.load.slots;
-      refused[node.load.service] += node.load.slots * node.load.refused_part;
-    }
-  }
-  for (const auto& [service, sum] : slots) {
+  for (const auto& [service, supply] : sum.services) {
     double& correction =
         this->corrections.try_emplace(service, 1).first->second;
-    const double mean = sum > 0 ? refused[service] / sum : 0;
-    if (mean > kManyRefused) {
+    const double refused =
+        supply.slots > 0 ? supply.refused_slots / supply.slots : 0;
+    if (refused > kManyRefused) {
       correction = std::max(kLeastCorrection, correction * kDecrease);
-    } else if (mean < kFewRefused) {
+    } else if (refused < kFewRefused) {
       correction = std::min(1.0, correction + kIncrease);
     }
   }
@@ -150,28 +130,21 @@
 std::map<RootKind, double> FleetLoad::AdmittedParts(
     const MeshConfiguration& configuration,
     TimePoint now) {
-  this->CorrectSupply(now);
-  const CostTable costs = this->MeanCosts(now);
-  std::map<RootKind, double> rates;
+  const LoadSum sum = this->Sum(now);
+  this->CorrectSupply(sum, now);
   std::map<std::string, double> slots;
-  for (const auto& [name, node] : this->nodes) {
-    if (now - node.heard_at > kNewsAge) {
-      continue;
-    }
-    const auto correction = this->corrections.find(node.load.service);
-    slots[node.load.service] +=
-        node.load.slots * kFilledPart *
+  for (const auto& [service, supply] : sum.services) {
+    const auto correction = this->corrections.find(service);
+    slots[service] =
+        supply.slots * kFilledPart *
         (correction == this->corrections.end() ? 1 : correction->second);
-    for (const auto& [kind, rate] : node.load.roots) {
-      rates[kind] += rate;
-    }
   }
   std::vector<RootOffer> offers;
-  for (const auto& [kind, rate] : rates) {
+  for (const auto& [kind, rate] : sum.roots) {
     RootOffer offer;
     offer.kind = kind;
     offer.rate = rate;
-    AddCost(configuration, costs, kind.route, 1, 0, offer.slot_seconds);
+    AddCost(configuration, sum.costs, kind.route, 1, 0, offer.slot_seconds);
     offers.push_back(std::move(offer));
   }
   this->last_reason = DescribeDemand(offers, slots);
--- a/src/coordination/fleet_load.h
+++ b/src/coordination/fleet_load.h
@@ -3,35 +3,24 @@
 
 #include <map>
 #include <string>
-#include <vector>
 
+#include "coordination/traffic_sum.h"
 #include "state/clock.h"
 #include "state/mesh_configuration.h"
 #include "state/root_admission.h"
-#include "state/tree_demand.h"
 
 namespace daisywinch {
 
-/// What one node tells of the load that it sees.
-struct NodeLoad {
-  /// Service of the target beside the node.
-  std::string service;
-  /// Requests that the target may run at once; 0 while it takes none.
-  double slots = 0;
-  /// Part of the calls of begun trees that its gate refuses, from 0 to 1.
-  double refused_part = 0;
-  std::vector<RouteCost> costs;
-  /// Roots that the node was asked for, in requests per second.
-  std::map<RootKind, double> roots;
-};
-
 /// The load of the whole fleet, put together from what the nodes tell.
 ///
 /// Follows the calls of each root through the routes to what its whole tree
 /// takes of every service, and compares that with the services' slots.
 class FleetLoad {
  public:
+  /// Takes what a node tells of itself.
   void Take(const std::string& node, const NodeLoad& load, TimePoint now);
+  /// Takes what several nodes tell together, under a name for all of them.
+  void TakeSum(const std::string& nodes, LoadSum sum, TimePoint now);
 
   /// The part of each kind of root to admit, for the configuration's routes.
   ///
@@ -55,14 +44,15 @@
 
  private:
   struct HeardLoad {
-    NodeLoad load;
+    LoadSum load;
     TimePoint heard_at;
   };
 
   /// Mean costs by route over all nodes that run it.
   using CostTable = std::map<std::string, RouteCost>;
 
-  CostTable MeanCosts(TimePoint now) const;
+  /// What all have told that were heard lately.
+  LoadSum Sum(TimePoint now) const;
   static void AddCost(const MeshConfiguration& configuration,
                       const CostTable& costs,
                       const std::string& route,
@@ -70,9 +60,9 @@
                       int depth,
                       std::map<std::string, double>& sums);
 
-  void CorrectSupply(TimePoint now);
+  void CorrectSupply(const LoadSum& sum, TimePoint now);
 
-  std::map<std::string, HeardLoad> nodes;
+  std::map<std::string, HeardLoad> heard;
   /// Part of a service's slots that is counted on.
   std::map<std::string, double> corrections;
   TimePoint corrected_at;
--- /dev/null
+++ b/src/coordination/news_relay.cc
@@ -0,0 +1,326 @@
+#include "coordination/news_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "state/time_text.h"
+
+namespace daisywinch {
+
+namespace {
+
+/// Relays that a node tells its news: one may fail without a gap.
+constexpr std::size_t kRelays = 2;
+/// Time after its last news in which a source counts as heard: two may be lost.
+constexpr std::chrono::milliseconds kSilence{1300};
+/// Time after its last news in which a node is told the sum of the others, and
+/// in which its load counts.
+constexpr std::chrono::milliseconds kListening{2500};
+/// Time without an answer after which a relay is suspected, and between two
+/// tries whether it answers again.
+constexpr std::chrono::milliseconds kSuspicion{1500};
+constexpr std::chrono::milliseconds kRetry{3000};
+/// Silence of the relay that a node goes by before another takes its place; a
+/// single lost datagram is no reason.
+constexpr std::chrono::milliseconds kRelaySilence{1200};
+/// Part of the members of another sum below which a sum is incomplete.
+constexpr double kCompletePart = 0.8;
+/// Time for which a node that left the list without a word is reckoned with.
+constexpr std::chrono::seconds kRemembered{30};
+/// News that come sooner after the last than this are told on at once; nodes
+/// tell twice a second without a special reason.
+constexpr std::chrono::milliseconds kUrgentGap{350};
+
+}  // namespace
+
+NewsRelay::NewsRelay(std::string ip, std::string data_centre)
+    : ip(std::move(ip)), data_centre(std::move(data_centre)) {}
+
+void NewsRelay::SetNodes(std::map<std::string, std::set<std::string>> next) {
+  this->listed = std::move(next);
+}
+
+void NewsRelay::TakeNode(const std::string& node,
+                         std::uint64_t incarnation,
+                         const TrafficNews& news,
+                         TimePoint now) {
+  this->Heard(node);
+  const bool is_new = !this->nodes.contains(node);
+  Source& source = this->nodes[node];
+  if (!is_new && now - source.heard_at < kUrgentGap) {
+    this->urgency = {true, true};
+  }
+  // A node that this relay knew and that has started anew counts from zero;
+  // of one that it never heard, it knows no earlier count to compare with.
+  this->TakeSource(source, incarnation, !is_new, news.customers, now);
+  source.is_leaving = news.is_leaving;
+  source.load = LoadSum();
+  AddTo(source.load, news.load);
+}
+
+void NewsRelay::TakeDataCentre(const std::string& other,
+                               const std::string& relay,
+                               std::uint64_t incarnation,
+                               TrafficSum sum,
+                               TimePoint now) {
+  this->Heard(relay);
+  if (other == this->data_centre) {
+    return;
+  }
+  Source& source = this->data_centres[other];
+  const bool is_current = source.relay == relay;
+  const bool is_better = now - source.heard_at > kRelaySilence ||
+                         source.members < kCompletePart * sum.members;
+  if (!is_current && !is_better) {
+    return;
+  }
+  if (is_current && now - source.heard_at < kUrgentGap) {
+    this->urgency.listeners = true;
+  }
+  source.relay = relay;
+  this->TakeSource(source, incarnation, false, sum.customers, now);
+  source.members = sum.members;
+  source.load = std::move(sum.load);
+}
+
+bool NewsRelay::TakeRest(const std::string& relay,
+                         std::uint32_t members,
+                         TimePoint now) {
+  this->Heard(relay);
+  const bool is_better = now - this->rest_heard_at > kRelaySilence ||
+                         this->rest_members < kCompletePart * members;
+  if (relay != this->rest_relay && !is_better) {
+    return false;
+  }
+  this->rest_relay = relay;
+  this->rest_members = members;
+  this->rest_heard_at = now;
+  return true;
+}
+
+void NewsRelay::TakeSource(Source& source,
+                           std::uint64_t incarnation,
+                           bool counts_from_zero,
+                           const std::map<std::string, CustomerUse>& customers,
+                           TimePoint now) {
+  this->ReckonSilenceOf(source, now);
+  const bool is_same = source.incarnation == incarnation;
+  const bool has_baseline = is_same || counts_from_zero;
+  for (auto& [customer, count] : source.customers) {
+    count.demand = 0;
+    count.told = is_same ? count.told : 0;
+  }
+  for (const auto& [customer, use] : customers) {
+    Count& count = source.customers[customer];
+    count.demand = use.demand;
+    const double admitted = has_baseline && use.admitted >= count.told
+                                ? static_cast<double>(use.admitted - count.told)
+                                : 0;
+    count.counted += std::max(0.0, admitted - count.reckoned);
+    count.told = use.admitted;
+  }
+  for (auto& [customer, count] : source.customers) {
+    count.reckoned = 0;
+  }
+  source.incarnation = incarnation;
+  source.heard_at = now;
+  source.is_silent = false;
+}
+
+void NewsRelay::ReckonSilence(TimePoint now) {
+  for (std::map<std::string, Source>* sources :
+       {&this->nodes, &this->data_centres}) {
+    for (auto& [name, source] : *sources) {
+      this->ReckonSilenceOf(source, now);
+    }
+  }
+  const std::set<std::string>& own = this->listed[this->data_centre];
+  std::erase_if(this->nodes, [&](const auto& entry) {
+    const Source& source = entry.second;
+    const bool is_over =
+        source.is_leaving || now - source.heard_at > kRemembered;
+    const bool is_gone = is_over && !own.contains(entry.first) &&
+                         now - source.heard_at > kListening;
+    if (is_gone) {
+      for (const auto& [customer, count] : source.customers) {
+        this->departed[customer] += count.counted;
+      }
+    }
+    return is_gone;
+  });
+}
+
+void NewsRelay::ReckonSilenceOf(Source& source, TimePoint now) {
+  if (source.is_leaving || source.heard_at == TimePoint() ||
+      now - source.heard_at <= kSilence) {
+    return;
+  }
+  if (!source.is_silent) {
+    source.is_silent = true;
+    source.reckoned_until = source.heard_at;
+    for (auto& [customer, count] : source.customers) {
+      const double demand = this->DemandOf(customer);
+      count.silent_part = demand > 0 ? count.demand / demand : 0;
+    }
+  }
+  const double elapsed = ToSeconds(now - source.reckoned_until);
+  source.reckoned_until = now;
+  for (auto& [customer, count] : source.customers) {
+    const auto rate = this->rates.find(customer);
+    if (rate != this->rates.end()) {
+      const double possible = rate->second * count.silent_part * elapsed;
+      count.counted += possible;
+      count.reckoned += possible;
+    }
+  }
+}
+
+double NewsRelay::DemandOf(const std::string& customer) const {
+  double demand = 0;
+  for (const std::map<std::string, Source>* sources :
+       {&this->nodes, &this->data_centres}) {
+    for (const auto& [name, source] : *sources) {
+      const auto count = source.customers.find(customer);
+      if (!source.is_leaving && count != source.customers.end()) {
+        demand += count->second.demand;
+      }
+    }
+  }
+  return demand;
+}
+
+bool NewsRelay::IsSuspected(const std::string& vm, TimePoint now) const {
+  const auto contact = this->contacts.find(vm);
+  return contact != this->contacts.end() && contact->second.asked_at &&
+         now - *contact->second.asked_at > kSuspicion;
+}
+
+std::vector<std::string> NewsRelay::ChooseRelays(const std::string& other,
+                                                 TimePoint now) {
+  std::vector<std::string> chosen;
+  std::size_t answering = 0;
+  for (const std::string& vm : this->listed[other]) {
+    Contact& contact = this->contacts[vm];
+    if (vm == this->ip) {
+      chosen.push_back(vm);
+      ++answering;
+    } else if (!this->IsSuspected(vm, now)) {
+      contact.asked_at = contact.asked_at.value_or(now);
+      contact.tried_at = now;
+      chosen.push_back(vm);
+      ++answering;
+    } else if (now - contact.tried_at > kRetry) {
+      contact.tried_at = now;
+      chosen.push_back(vm);
+    }
+    if (answering == kRelays) {
+      break;
+    }
+  }
+  return chosen;
+}
+
+std::vector<std::string> NewsRelay::OwnRelays(TimePoint now) {
+  return this->ChooseRelays(this->data_centre, now);
+}
+
+std::vector<std::string> NewsRelay::RemoteRelays(TimePoint now) {
+  std::vector<std::string> relays;
+  if (this->Listeners(now).empty()) {
+    return relays;
+  }
+  std::vector<std::string> others;
+  for (const auto& [other, vms] : this->listed) {
+    if (other != this->data_centre) {
+      others.push_back(other);
+    }
+  }
+  for (const std::string& other : others) {
+    const std::vector<std::string> chosen = this->ChooseRelays(other, now);
+    relays.insert(relays.end(), chosen.begin(), chosen.end());
+  }
+  return relays;
+}
+
+std::vector<std::string> NewsRelay::Listeners(TimePoint now) const {
+  std::vector<std::string> listeners;
+  for (const auto& [node, source] : this->nodes) {
+    if (now - source.heard_at <= kListening) {
+      listeners.push_back(node);
+    }
+  }
+  return listeners;
+}
+
+void NewsRelay::AddSource(const Source& source,
+                          TimePoint now,
+                          TrafficSum& sum) {
+  if (now - source.heard_at <= kListening) {
+    AddTo(sum.load, source.load);
+    sum.members += source.members;
+  }
+  for (const auto& [customer, count] : source.customers) {
+    if (!source.is_leaving) {
+      sum.customers[customer].demand += count.demand;
+    }
+  }
+}
+
+void NewsRelay::Round(const std::map<std::string, double>& counts,
+                      TrafficSum& sum) {
+  for (const auto& [customer, count] : counts) {
+    sum.customers[customer].admitted = static_cast<std::uint64_t>(count);
+  }
+}
+
+TrafficSum NewsRelay::OwnDataCentre(TimePoint now) {
+  this->ReckonSilence(now);
+  TrafficSum sum;
+  std::map<std::string, double> counts = this->departed;
+  for (const auto& [node, source] : this->nodes) {
+    AddSource(source, now, sum);
+    for (const auto& [customer, count] : source.customers) {
+      counts[customer] += count.counted;
+    }
+  }
+  Round(counts, sum);
+  return sum;
+}
+
+FleetSum NewsRelay::Fleet(TimePoint now) {
+  this->ReckonSilence(now);
+  FleetSum fleet;
+  fleet.counts = this->departed;
+  for (const std::map<std::string, Source>* sources :
+       {&this->nodes, &this->data_centres}) {
+    for (const auto& [name, source] : *sources) {
+      AddSource(source, now, fleet.sum);
+      for (const auto& [customer, count] : source.customers) {
+        fleet.counts[customer] += count.counted;
+      }
+    }
+  }
+  return fleet;
+}
+
+TrafficSum NewsRelay::RestFor(const std::string& node,
+                              const FleetSum& fleet) const {
+  TrafficSum sum = fleet.sum;
+  std::map<std::string, double> counts = fleet.counts;
+  const auto own = this->nodes.find(node);
+  if (own != this->nodes.end()) {
+    for (const auto& [customer, count] : own->second.customers) {
+      counts[customer] -= count.counted;
+      sum.customers[customer].demand -=
+          own->second.is_leaving ? 0 : count.demand;
+    }
+  }
+  Round(counts, sum);
+  return sum;
+}
+
+NewsRelay::Urgency NewsRelay::TakeUrgency() {
+  return std::exchange(this->urgency, Urgency());
+}
+
+}  // namespace daisywinch
--- /dev/null
+++ b/src/coordination/news_relay.h
@@ -0,0 +1,161 @@
+#ifndef DAISYWINCH_COORDINATION_NEWS_RELAY_H
+#define DAISYWINCH_COORDINATION_NEWS_RELAY_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/traffic_sum.h"
+#include "state/clock.h"
+
+namespace daisywinch {
+
+/// The sum of the whole fleet, as a relay knows it.
+struct FleetSum {
+  TrafficSum sum;
+  /// Requests counted by customer; not whole while a silence is reckoned with.
+  std::map<std::string, double> counts;
+};
+
+/// Decides who tells whom of the fleet's traffic, and adds up what is told.
+///
+/// Were every node to tell all others, news would grow with the square of the
+/// nodes. Instead each node tells two *relays* of its data centre, the first
+/// two of its VMs, in the order of their IP numbers, that answer. A relay adds
+/// up what the nodes of its data centre tell, exchanges sums with the relays of
+/// the other data centres, and tells each node that told it something the sum
+/// of all others. Nobody is appointed: whoever is told news acts as a relay
+/// for those who told it.
+///
+/// Sums of admitted requests never shrink in one run of a relay. For a node or
+/// a data centre that is silent without having said that it stops, the relay
+/// reckons with its part of each customer's rate, as that is what it may go on
+/// admitting.
+///
+/// Runs on the control thread.
+class NewsRelay {
+ public:
+  NewsRelay(std::string ip, std::string data_centre);
+
+  /// The VMs that are listed, by data centre; the own one among them.
+  void SetNodes(std::map<std::string, std::set<std::string>> listed);
+  /// The customers' rates in requests per second.
+  void SetRates(std::map<std::string, double> next) {
+    this->rates = std::move(next);
+  }
+
+  /// Takes what a node of the own data centre tells, this one among them.
+  void TakeNode(const std::string& node,
+                std::uint64_t incarnation,
+                const TrafficNews& news,
+                TimePoint now);
+  /// Takes the sum of another data centre from one of its relays.
+  void TakeDataCentre(const std::string& data_centre,
+                      const std::string& relay,
+                      std::uint64_t incarnation,
+                      TrafficSum sum,
+                      TimePoint now);
+  /// Takes notice that a relay has told this node the sum of all others;
+  /// whether this node is to go by it. It goes by one relay at a time, as each
+  /// counts from its own start.
+  bool TakeRest(const std::string& relay, std::uint32_t members, TimePoint now);
+
+  /// The nodes to tell this node's own news; it may be among them itself.
+  std::vector<std::string> OwnRelays(TimePoint now);
+  /// Relays of other data centres to tell the sum of the own one; none while
+  /// this node is no relay.
+  std::vector<std::string> RemoteRelays(TimePoint now);
+  /// Nodes to tell the sum of all others; this one may be among them.
+  std::vector<std::string> Listeners(TimePoint now) const;
+
+  TrafficSum OwnDataCentre(TimePoint now);
+  FleetSum Fleet(TimePoint now);
+  /// What one node is told: the customers' use at all others, and the load that
+  /// all see, that node too.
+  TrafficSum RestFor(const std::string& node, const FleetSum& fleet) const;
+
+  /// Whether something was told out of turn since the last call, that the
+  /// listeners or the other data centres should hear at once.
+  struct Urgency {
+    bool listeners = false;
+    bool data_centres = false;
+  };
+  Urgency TakeUrgency();
+
+ private:
+  /// One customer's use at a node or in a data centre.
+  struct Count {
+    /// The count that was told last.
+    std::uint64_t told = 0;
+    /// Requests counted since this relay started.
+    double counted = 0;
+    /// The part of them that was reckoned in the present silence.
+    double reckoned = 0;
+    double demand = 0;
+    /// Part of the fleet's demand when the silence began.
+    double silent_part = 0;
+  };
+
+  /// A node of the own data centre, or another data centre.
+  struct Source {
+    std::uint64_t incarnation = 0;
+    /// For a data centre, the relay that tells of it.
+    std::string relay;
+    TimePoint heard_at;
+    /// Until when a silence has been reckoned with.
+    TimePoint reckoned_until;
+    bool is_silent = false;
+    bool is_leaving = false;
+    std::uint32_t members = 1;
+    LoadSum load;
+    std::map<std::string, Count> customers;
+  };
+
+  /// A VM that was told something as a relay.
+  struct Contact {
+    /// Since when it owes an answer.
+    std::optional<TimePoint> asked_at;
+    /// When it was last tried although it is suspected.
+    TimePoint tried_at;
+  };
+
+  void TakeSource(Source& source,
+                  std::uint64_t incarnation,
+                  bool counts_from_zero,
+                  const std::map<std::string, CustomerUse>& customers,
+                  TimePoint now);
+  /// Reckons with what silent sources may have admitted.
+  void ReckonSilence(TimePoint now);
+  void ReckonSilenceOf(Source& source, TimePoint now);
+  double DemandOf(const std::string& customer) const;
+  /// The first VMs of a data centre that answer, and one that is tried again.
+  std::vector<std::string> ChooseRelays(const std::string& data_centre,
+                                        TimePoint now);
+  bool IsSuspected(const std::string& vm, TimePoint now) const;
+  void Heard(const std::string& vm) { this->contacts[vm].asked_at.reset(); }
+  static void AddSource(const Source& source, TimePoint now, TrafficSum& sum);
+  static void Round(const std::map<std::string, double>& counts,
+                    TrafficSum& sum);
+
+  std::string ip;
+  std::string data_centre;
+  std::map<std::string, std::set<std::string>> listed;
+  std::map<std::string, double> rates;
+  std::map<std::string, Source> nodes;
+  std::map<std::string, Source> data_centres;
+  /// Counts of nodes that are forgotten.
+  std::map<std::string, double> departed;
+  std::map<std::string, Contact> contacts;
+  /// The relay that this node goes by.
+  std::string rest_relay;
+  std::uint32_t rest_members = 0;
+  TimePoint rest_heard_at;
+  Urgency urgency;
+};
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_COORDINATION_NEWS_RELAY_H
--- /dev/null
+++ b/src/coordination/traffic_sum.cc
@@ -0,0 +1,53 @@
+#include "coordination/traffic_sum.h"
+
+namespace daisywinch {
+
+namespace {
+
+/// Weight of a node's costs besides its rate of runs.
+constexpr double kRowWeight = 0.01;
+
+/// Makes `mean` the mean of both, weighted with their rates of runs.
+void MergeCost(RouteCost& mean, const RouteCost& other) {
+  const double other_weight = other.rate + kRowWeight;
+  const double weight = mean.route.empty() ? 0 : mean.rate + kRowWeight;
+  const double part = other_weight / (weight + other_weight);
+  mean.route = other.route;
+  mean.rate += other.rate;
+  mean.slot_seconds += part * (other.slot_seconds - mean.slot_seconds);
+  for (auto& [callee, calls] : mean.onward) {
+    calls *= 1 - part;
+  }
+  for (const auto& [callee, calls] : other.onward) {
+    mean.onward[callee] += part * calls;
+  }
+}
+
+}  // namespace
+
+void AddTo(LoadSum& sum, const NodeLoad& load) {
+  ServiceSupply& supply = sum.services[load.service];
+  supply.slots += load.slots;
+  supply.refused_slots += load.slots * load.refused_part;
+  for (const RouteCost& cost : load.costs) {
+    MergeCost(sum.costs[cost.route], cost);
+  }
+  for (const auto& [kind, rate] : load.roots) {
+    sum.roots[kind] += rate;
+  }
+}
+
+void AddTo(LoadSum& sum, const LoadSum& other) {
+  for (const auto& [service, supply] : other.services) {
+    sum.services[service].slots += supply.slots;
+    sum.services[service].refused_slots += supply.refused_slots;
+  }
+  for (const auto& [route, cost] : other.costs) {
+    MergeCost(sum.costs[route], cost);
+  }
+  for (const auto& [kind, rate] : other.roots) {
+    sum.roots[kind] += rate;
+  }
+}
+
+}  // namespace daisywinch
--- a/src/node/mesh_entry.cc
+++ b/src/node/mesh_entry.cc
@@ -39,6 +39,11 @@
 constexpr std::chrono::milliseconds kReportInterval{400};
 constexpr std::chrono::seconds kOverRateInterval{1};
 
+/// Name under which the traffic of all other nodes is kept.
+constexpr char kOthers[] = "others";
+/// Time without news of the fleet after which a node goes by its own load.
+constexpr std::chrono::milliseconds kFleetSilence{2500};
+
 RequestClass ClassOf(std::uint32_t priority) {
   return static_cast<RequestClass>(
       std::min<std::uint32_t>(priority, kRequestClassCount - 1));
@@ -123,9 +128,13 @@
   if (this->view->Configuration() != nullptr) {
     this->ledger.Configure(*this->view->Configuration(), now);
   }
-  std::set<std::string> others = this->view->VmAddresses();
-  others.erase(this->ip);
-  this->ledger.SetNodes(others, now);
+  std::set<std::string> vms = this->view->VmAddresses();
+  vms.insert(this->ip);
+  std::set<std::string> others;
+  if (vms.size() > 1) {
+    others.insert(kOthers);
+  }
+  this->ledger.SetNodes(others, vms.size(), now);
 }
 
 RefusalReason MeshEntry::Admit(HttpRequest& request, Call& call) {
@@ -314,13 +323,11 @@
   return std::chrono::duration_cast<Duration>(objective * part(this->random));
 }
 
-void MeshEntry::TakeNews(const std::string& node,
-                         std::uint64_t incarnation,
-                         const TrafficNews& news) {
+void MeshEntry::TakeNews(std::uint64_t incarnation, TrafficSum news) {
   const TimePoint now = this->clock.Now();
-  this->ledger.TakeNews(node, incarnation, news.customers, news.is_leaving,
-                        now);
-  this->fleet_load.Take(node, news.load, now);
+  this->ledger.TakeNews(kOthers, incarnation, news.customers, false, now);
+  this->fleet_load.TakeSum(kOthers, std::move(news.load), now);
+  this->fleet_heard_at = now;
 }
 
 TrafficNews MeshEntry::TellNews(NodeLoad load) {
@@ -333,7 +340,10 @@
   }
   load.service = this->service;
   load.costs = this->demand.Costs(now);
-  this->fleet_load.Take(this->ip, load, now);
+  if (now - this->fleet_heard_at > kFleetSilence) {
+    // What the relays tell holds this node's load too.
+    this->fleet_load.Take(this->ip, load, now);
+  }
   return {this->ledger.Tell(now), std::move(load), false};
 }
 
--- a/src/node/mesh_entry.h
+++ b/src/node/mesh_entry.h
@@ -12,10 +12,10 @@
 
 #include "coordination/customer_ledger.h"
 #include "coordination/fleet_load.h"
+#include "coordination/traffic_sum.h"
 #include "node/call_metrics.h"
 #include "node/call_sender.h"
 #include "platform/attempt_messages.h"
-#include "protocol/news_codec.h"
 #include "state/clock.h"
 #include "state/gate_chooser.h"
 #include "state/line_limiter.h"
@@ -48,10 +48,9 @@
   Awaitable<HttpResponse> Handle(HttpRequest request,
                                  std::shared_ptr<Cancellation> cancellation);
 
-  /// Takes what another node tells of its traffic.
-  void TakeNews(const std::string& node,
-                std::uint64_t incarnation,
-                const TrafficNews& news);
+  /// Takes what a relay tells of the traffic of all other nodes.
+  /// `incarnation` names the run of the relay that counts.
+  void TakeNews(std::uint64_t incarnation, TrafficSum news);
   /// Whether the other nodes should hear from this one at once.
   bool HasUrgentNews() const {
     return this->ledger.IsFarAhead(this->clock.Now());
@@ -120,6 +119,8 @@
   CustomerLedger ledger;
   TreeDemand& demand;
   FleetLoad fleet_load;
+  /// When a relay last told of all nodes.
+  TimePoint fleet_heard_at;
   /// Roots that callers asked for, by kind.
   std::map<RootKind, DecayedRate> root_rates;
   std::map<RootKind, double> admitted_parts;
--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -23,6 +23,8 @@
 /// one.
 constexpr std::chrono::milliseconds kNewsInterval{500};
 constexpr std::chrono::milliseconds kNewsCheckInterval{100};
+/// Least time between two rounds of a relay when something is urgent.
+constexpr std::chrono::milliseconds kUrgentInterval{200};
 constexpr std::chrono::milliseconds kDrainCheckInterval{20};
 /// Time after the signal to stop in which callers may still send requests:
 /// the platform notices after two misses of one check a second.
@@ -110,8 +112,9 @@
           }),
       news_socket(this->control_context,
                   [this](const std::string& ip, std::string_view content) {
-                    this->TakeNews(ip, content);
+                    this->TakeDatagram(ip, content);
                   }),
+      relay(settings.ip, settings.data_centre),
       signals(this->control_context, SIGTERM, SIGINT) {}
 
 int MeshNode::Run() {
@@ -154,7 +157,16 @@
 
 void MeshNode::PublishView() {
   const bool was_ready = this->IsReady();
-  this->views.Publish(this->directory.MakeView());
+  const std::shared_ptr<const MeshView> view = this->directory.MakeView();
+  this->views.Publish(view);
+  this->relay.SetNodes(view->VmsByDataCentre());
+  if (view->Configuration() != nullptr) {
+    std::map<std::string, double> rates;
+    for (const MeshCustomer& customer : view->Configuration()->Customers()) {
+      rates[customer.name] = customer.rate;
+    }
+    this->relay.SetRates(std::move(rates));
+  }
   if (!was_ready && this->IsReady()) {
     LogEvent(EventId::kNodeReady, {{"vm", this->settings.vm}});
   }
@@ -210,54 +222,134 @@
     Timer timer(this->control_context, kNewsCheckInterval);
     ErrorCode ignored;
     co_await timer.async_wait(Await(ignored));
-    asio::post(this->traffic_context, [this] {
-      const TimePoint now = this->clock.Now();
-      if (now - this->told_at < kNewsInterval && !this->entry.HasUrgentNews()) {
-        return;
-      }
-      this->told_at = now;
-      NodeLoad load;
-      load.slots = this->gate.Slots();
-      load.refused_part = this->gate.RefusedPart();
-      protocol::NodeNews news;
-      EncodeTrafficNews(this->entry.TellNews(std::move(load)), news);
-      asio::post(this->control_context, [this, news] { this->SendNews(news); });
-    });
+    asio::post(this->traffic_context, [this] { this->CollectOwnNews(); });
+    this->RelayNews();
   }
 }
 
-void MeshNode::SendNews(protocol::NodeNews news) {
-  const std::shared_ptr<const MeshView> view = this->views.Load();
-  if (view == nullptr) {
+void MeshNode::CollectOwnNews() {
+  const TimePoint now = this->clock.Now();
+  if (now - this->told_at < kNewsInterval && !this->entry.HasUrgentNews()) {
     return;
   }
+  this->told_at = now;
+  NodeLoad load;
+  load.slots = this->gate.Slots();
+  load.refused_part = this->gate.RefusedPart();
+  protocol::NodeNews news;
+  EncodeTrafficNews(this->entry.TellNews(std::move(load)), news);
+  asio::post(this->control_context, [this, news = std::move(news)]() mutable {
+    this->SendOwnNews(std::move(news));
+  });
+}
+
+void MeshNode::SendOwnNews(protocol::NodeNews news) {
   news.set_node(this->settings.ip);
   news.set_incarnation(this->incarnation);
   news.set_sequence(++this->news_sequence);
   news.set_configuration_version(this->directory.ConfigurationVersion());
   news.set_store_revision(this->watcher.Revision());
   news.set_draining(this->draining);
-  const std::string content = news.SerializeAsString();
-  for (const std::string& ip : view->VmAddresses()) {
-    if (ip != this->settings.ip) {
-      this->news_socket.Send({ip, this->settings.news_address.port}, content);
+  const TimePoint now = this->clock.Now();
+  protocol::Datagram datagram;
+  *datagram.mutable_node() = std::move(news);
+  for (const std::string& ip : this->relay.OwnRelays(now)) {
+    if (ip == this->settings.ip) {
+      this->relay.TakeNode(ip, this->incarnation,
+                           DecodeTrafficNews(datagram.node()), now);
+    } else {
+      this->Send(ip, datagram);
     }
   }
 }
 
-void MeshNode::TakeNews(const std::string& ip, std::string_view content) {
-  protocol::NodeNews news;
+void MeshNode::RelayNews() {
+  const TimePoint now = this->clock.Now();
+  const bool is_time = now - this->relayed_at >= kNewsInterval;
+  const bool may_be_urgent = now - this->relayed_at >= kUrgentInterval;
+  if (this->draining || !may_be_urgent) {
+    return;
+  }
+  const NewsRelay::Urgency urgency = this->relay.TakeUrgency();
+  if (!is_time && !urgency.listeners && !urgency.data_centres) {
+    return;
+  }
+  this->relayed_at = now;
+  if (is_time || urgency.data_centres) {
+    const std::vector<std::string> remote = this->relay.RemoteRelays(now);
+    const TrafficSum sum =
+        remote.empty() ? TrafficSum() : this->relay.OwnDataCentre(now);
+    for (const std::string& ip : remote) {
+      this->SendSum(ip, this->settings.data_centre, sum);
+    }
+  }
+  const std::vector<std::string> listeners = this->relay.Listeners(now);
+  const FleetSum fleet =
+      listeners.empty() ? FleetSum() : this->relay.Fleet(now);
+  for (const std::string& ip : listeners) {
+    TrafficSum rest = this->relay.RestFor(ip, fleet);
+    if (ip == this->settings.ip) {
+      this->TakeRest(ip, this->incarnation, std::move(rest));
+    } else {
+      this->SendSum(ip, "", rest);
+    }
+  }
+}
+
+void MeshNode::SendSum(const std::string& ip,
+                       const std::string& data_centre,
+                       const TrafficSum& sum) {
+  protocol::Datagram datagram;
+  protocol::SumNews& news = *datagram.mutable_sum();
+  EncodeTrafficSum(sum, news);
+  news.set_relay(this->settings.ip);
+  news.set_incarnation(this->incarnation);
+  news.set_sequence(++this->news_sequence);
+  news.set_data_centre(data_centre);
+  this->Send(ip, datagram);
+}
+
+void MeshNode::Send(const std::string& ip, const protocol::Datagram& datagram) {
+  this->news_socket.Send({ip, this->settings.news_address.port},
+                         datagram.SerializeAsString());
+}
+
+void MeshNode::TakeDatagram(const std::string& ip, std::string_view content) {
+  protocol::Datagram datagram;
   const std::shared_ptr<const MeshView> view = this->views.Load();
   const bool is_listed = view != nullptr && view->VmAddresses().contains(ip);
-  if (!is_listed ||
-      !news.ParseFromArray(content.data(), static_cast<int>(content.size())) ||
-      news.node() != ip) {
+  if (!is_listed || !datagram.ParseFromArray(
+                        content.data(), static_cast<int>(content.size()))) {
     return;
   }
-  asio::post(this->traffic_context, [this, ip, incarnation = news.incarnation(),
-                                     traffic = DecodeTrafficNews(news)] {
-    this->entry.TakeNews(ip, incarnation, traffic);
-  });
+  if (datagram.has_node() && datagram.node().node() == ip) {
+    this->relay.TakeNode(ip, datagram.node().incarnation(),
+                         DecodeTrafficNews(datagram.node()), this->clock.Now());
+  } else if (datagram.has_sum() && datagram.sum().relay() == ip) {
+    this->TakeSum(ip, datagram.sum());
+  }
+}
+
+void MeshNode::TakeSum(const std::string& ip, const protocol::SumNews& news) {
+  TrafficSum sum = DecodeTrafficSum(news);
+  if (news.data_centre().empty()) {
+    this->TakeRest(ip, news.incarnation(), std::move(sum));
+  } else {
+    this->relay.TakeDataCentre(news.data_centre(), ip, news.incarnation(),
+                               std::move(sum), this->clock.Now());
+  }
+}
+
+void MeshNode::TakeRest(const std::string& relay_ip,
+                        std::uint64_t relay_incarnation,
+                        TrafficSum sum) {
+  if (!this->relay.TakeRest(relay_ip, sum.members, this->clock.Now())) {
+    return;
+  }
+  asio::post(this->traffic_context,
+             [this, relay_incarnation, sum = std::move(sum)]() mutable {
+               this->entry.TakeNews(relay_incarnation, std::move(sum));
+             });
 }
 
 Awaitable<> MeshNode::ShutDownOnSignal() {
--- a/src/node/mesh_node.h
+++ b/src/node/mesh_node.h
@@ -9,11 +9,12 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "coordination/mesh_directory.h"
+#include "coordination/news_relay.h"
 #include "node/gate_router.h"
 #include "node/mesh_entry.h"
 #include "node/mesh_gate.h"
 #include "node/store_watcher.h"
-#include "protocol/generated/news_messages.pb.h"
+#include "protocol/news_codec.h"
 #include "state/mesh_settings.h"
 #include "state/mesh_view.h"
 #include "transport/call_server.h"
@@ -37,9 +38,21 @@
   bool Listen();
   void PublishView();
   Awaitable<> ShutDownOnSignal();
+  /// Tells this node's traffic and, as a relay, that of others.
   Awaitable<> SpreadNews();
-  void SendNews(protocol::NodeNews news);
-  void TakeNews(const std::string& ip, std::string_view content);
+  /// Collects what this node tells, on the traffic thread.
+  void CollectOwnNews();
+  void SendOwnNews(protocol::NodeNews news);
+  void RelayNews();
+  void TakeDatagram(const std::string& ip, std::string_view content);
+  void TakeSum(const std::string& ip, const protocol::SumNews& news);
+  void SendSum(const std::string& ip,
+               const std::string& data_centre,
+               const TrafficSum& sum);
+  void TakeRest(const std::string& relay,
+                std::uint64_t relay_incarnation,
+                TrafficSum sum);
+  void Send(const std::string& ip, const protocol::Datagram& datagram);
   Awaitable<HttpResponse> AnswerReady();
   Awaitable<HttpResponse> AnswerOperator(HttpRequest request);
   bool IsReady() const;
@@ -61,6 +74,8 @@
   HttpServer ready_server;
   HttpServer operator_server;
   DatagramSocket news_socket;
+  NewsRelay relay;
+  TimePoint relayed_at;
   std::uint64_t news_sequence = 0;
   /// When this node last told its news; for the traffic thread.
   TimePoint told_at;
--- a/src/protocol/news_codec.cc
+++ b/src/protocol/news_codec.cc
@@ -1,7 +1,8 @@
 #include "protocol/news_codec.h"
 
 #include <cmath>
-#include <utility>
+#include <map>
+#include <string>
 
 namespace daisywinch {
 
@@ -12,62 +13,125 @@
   return std::isfinite(figure) && figure > 0 ? figure : 0;
 }
 
-}  // namespace
-
-void EncodeTrafficNews(const TrafficNews& traffic, protocol::NodeNews& news) {
-  for (const auto& [customer, use] : traffic.customers) {
+template <typename News>
+void EncodeCustomers(const std::map<std::string, CustomerUse>& customers,
+                     News& news) {
+  for (const auto& [customer, use] : customers) {
     protocol::CustomerDemand* demand = news.add_customers();
     demand->set_customer(customer);
     demand->set_rate(static_cast<float>(use.demand));
     demand->set_admitted(use.admitted);
   }
-  for (const auto& [kind, rate] : traffic.load.roots) {
+}
+
+template <typename News>
+std::map<std::string, CustomerUse> DecodeCustomers(const News& news) {
+  std::map<std::string, CustomerUse> customers;
+  for (const protocol::CustomerDemand& demand : news.customers()) {
+    customers[demand.customer()] = {demand.admitted(),
+                                    ReadFigure(demand.rate())};
+  }
+  return customers;
+}
+
+template <typename News>
+void EncodeRoots(const std::map<RootKind, double>& roots, News& news) {
+  for (const auto& [kind, rate] : roots) {
     protocol::RootDemand* root = news.add_roots();
     root->set_route(kind.route);
     root->set_priority(kind.priority);
     root->set_rate(static_cast<float>(rate));
   }
+}
+
+template <typename News>
+std::map<RootKind, double> DecodeRoots(const News& news) {
+  std::map<RootKind, double> roots;
+  for (const protocol::RootDemand& root : news.roots()) {
+    roots[{root.route(), root.priority()}] = ReadFigure(root.rate());
+  }
+  return roots;
+}
+
+template <typename News>
+void EncodeCost(const RouteCost& cost, News& news) {
+  protocol::RouteCost* row = news.add_costs();
+  row->set_route(cost.route);
+  row->set_rate(static_cast<float>(cost.rate));
+  row->set_slot_seconds(static_cast<float>(cost.slot_seconds));
+  for (const auto& [callee, calls] : cost.onward) {
+    protocol::OnwardCalls* onward = row->add_onward();
+    onward->set_route(callee);
+    onward->set_calls(static_cast<float>(calls));
+  }
+}
+
+RouteCost DecodeCost(const protocol::RouteCost& row) {
+  RouteCost cost;
+  cost.route = row.route();
+  cost.rate = ReadFigure(row.rate());
+  cost.slot_seconds = ReadFigure(row.slot_seconds());
+  for (const protocol::OnwardCalls& onward : row.onward()) {
+    cost.onward[onward.route()] = ReadFigure(onward.calls());
+  }
+  return cost;
+}
+
+}  // namespace
+
+void EncodeTrafficNews(const TrafficNews& traffic, protocol::NodeNews& news) {
+  EncodeCustomers(traffic.customers, news);
+  EncodeRoots(traffic.load.roots, news);
   news.set_service(traffic.load.service);
   news.set_slots(static_cast<float>(traffic.load.slots));
   news.set_refused_part(static_cast<float>(traffic.load.refused_part));
   for (const RouteCost& cost : traffic.load.costs) {
-    protocol::RouteCost* row = news.add_costs();
-    row->set_route(cost.route);
-    row->set_rate(static_cast<float>(cost.rate));
-    row->set_slot_seconds(static_cast<float>(cost.slot_seconds));
-    for (const auto& [callee, calls] : cost.onward) {
-      protocol::OnwardCalls* onward = row->add_onward();
-      onward->set_route(callee);
-      onward->set_calls(static_cast<float>(calls));
-    }
+    EncodeCost(cost, news);
   }
 }
 
 TrafficNews DecodeTrafficNews(const protocol::NodeNews& news) {
   TrafficNews traffic;
   traffic.is_leaving = news.draining();
-  for (const protocol::CustomerDemand& demand : news.customers()) {
-    traffic.customers[demand.customer()] = {demand.admitted(),
-                                            ReadFigure(demand.rate())};
-  }
-  for (const protocol::RootDemand& root : news.roots()) {
-    traffic.load.roots[{root.route(), root.priority()}] =
-        ReadFigure(root.rate());
-  }
+  traffic.customers = DecodeCustomers(news);
+  traffic.load.roots = DecodeRoots(news);
   traffic.load.service = news.service();
   traffic.load.slots = ReadFigure(news.slots());
   traffic.load.refused_part = ReadFigure(news.refused_part());
   for (const protocol::RouteCost& row : news.costs()) {
-    RouteCost cost;
-    cost.route = row.route();
-    cost.rate = ReadFigure(row.rate());
-    cost.slot_seconds = ReadFigure(row.slot_seconds());
-    for (const protocol::OnwardCalls& onward : row.onward()) {
-      cost.onward[onward.route()] = ReadFigure(onward.calls());
-    }
-    traffic.load.costs.push_back(std::move(cost));
+    traffic.load.costs.push_back(DecodeCost(row));
   }
   return traffic;
 }
 
+void EncodeTrafficSum(const TrafficSum& sum, protocol::SumNews& news) {
+  news.set_members(sum.members);
+  EncodeCustomers(sum.customers, news);
+  EncodeRoots(sum.load.roots, news);
+  for (const auto& [service, supply] : sum.load.services) {
+    protocol::ServiceSupply* row = news.add_services();
+    row->set_service(service);
+    row->set_slots(static_cast<float>(supply.slots));
+    row->set_refused_slots(static_cast<float>(supply.refused_slots));
+  }
+  for (const auto& [route, cost] : sum.load.costs) {
+    EncodeCost(cost, news);
+  }
+}
+
+TrafficSum DecodeTrafficSum(const protocol::SumNews& news) {
+  TrafficSum sum;
+  sum.members = news.members();
+  sum.customers = DecodeCustomers(news);
+  sum.load.roots = DecodeRoots(news);
+  for (const protocol::ServiceSupply& row : news.services()) {
+    sum.load.services[row.service()] = {ReadFigure(row.slots()),
+                                        ReadFigure(row.refused_slots())};
+  }
+  for (const protocol::RouteCost& row : news.costs()) {
+    sum.load.costs[row.route()] = DecodeCost(row);
+  }
+  return sum;
+}
+
 }  // namespace daisywinch
--- a/src/state/mesh_view.cc
+++ b/src/state/mesh_view.cc
@@ -10,8 +10,15 @@
     : configuration(std::move(configuration)),
       targets(std::move(targets)),
       evacuated(evacuated.begin(), evacuated.end()) {
+  std::map<Address, const MeshTarget*> newest;
   for (const auto& [id, target] : this->targets) {
-    const bool is_newest = this->FindAt(target.address) == &target;
+    const MeshTarget*& found = newest[target.address];
+    if (found == nullptr || target.born > found->born) {
+      found = &target;
+    }
+  }
+  for (const auto& [id, target] : this->targets) {
+    const bool is_newest = newest[target.address] == &target;
     if (is_newest && !target.leaving &&
         !this->IsEvacuated(target.data_centre)) {
       this->usable[target.service].push_back(&target);
@@ -49,4 +56,12 @@
   return addresses;
 }
 
+std::map<std::string, std::set<std::string>> MeshView::VmsByDataCentre() const {
+  std::map<std::string, std::set<std::string>> vms;
+  for (const auto& [id, target] : this->targets) {
+    vms[target.data_centre].insert(target.address.ip);
+  }
+  return vms;
+}
+
 }  // namespace daisywinch
--- a/src/state/mesh_view.h
+++ b/src/state/mesh_view.h
@@ -64,6 +64,8 @@
   bool IsEvacuated(std::string_view data_centre) const;
   /// IP numbers of all VMs on which targets are registered.
   std::set<std::string> VmAddresses() const;
+  /// The same by data centre.
+  std::map<std::string, std::set<std::string>> VmsByDataCentre() const;
 
  private:
   std::shared_ptr<const MeshConfiguration> configuration;
--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -1,6 +1,7 @@
 #ifndef DAISYWINCH_STATE_SETTINGS_H
 #define DAISYWINCH_STATE_SETTINGS_H
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -20,7 +21,8 @@
   std::uint16_t port = 0;
 
   std::string ToString() const;
-  friend bool operator==(const Address&, const Address&) = default;
+  friend std::strong_ordering operator<=>(const Address&,
+                                          const Address&) = default;
 };
 
 /// Parses "IP:PORT", with an IPv6 number in square brackets.
--- a/tests/coordination/customer_ledger_test.cc
+++ b/tests/coordination/customer_ledger_test.cc
@@ -114,7 +114,8 @@
       std::set<std::string> others = listed;
       others.erase("node-" + std::to_string(index));
       if (!this->cut.contains(index)) {
-        this->nodes[index].ledger->SetNodes(others, this->now);
+        this->nodes[index].ledger->SetNodes(others, others.size() + 1,
+                                            this->now);
       }
     }
   }
@@ -140,7 +141,7 @@
         others.insert("node-" + std::to_string(index));
       }
     }
-    node.ledger->SetNodes(others, this->now);
+    node.ledger->SetNodes(others, others.size() + 1, this->now);
     node.incarnation = this->next_incarnation++;
     std::uniform_int_distribution<int> phase(0, kNewsInterval.count());
     node.tells_at = this->now + milliseconds(phase(this->random));
