Feed the store's changes through the relays

Ruled out: longer waits (changes end them anyway); reads that may be stale (seconds old against a bound of 2.5 s). Relays watch and pass changes on as they were read; the others read only what the relays' heartbeats show to be missing, or while no relay that reads the store is heard. A relay's outage is told, so that lapsed entries get their two seconds everywhere.

--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -121,6 +121,8 @@
   if (!this->Listen()) {
     return EXIT_FAILURE;
   }
+  this->watcher.SetFeeder(
+      [this](const protocol::StoreNews& news) { this->SendFeed(news); });
   this->watcher.Start();
   this->gate.Start();
   asio::co_spawn(this->control_context, this->ShutDownOnSignal(),
@@ -265,6 +267,8 @@
 
 void MeshNode::RelayNews() {
   const TimePoint now = this->clock.Now();
+  this->watcher.SetRelay(!this->draining &&
+                         !this->relay.Listeners(now).empty());
   const bool is_time = now - this->relayed_at >= kNewsInterval;
   const bool may_be_urgent = now - this->relayed_at >= kUrgentInterval;
   if (this->draining || !may_be_urgent) {
@@ -275,6 +279,10 @@
     return;
   }
   this->relayed_at = now;
+  if (const std::optional<protocol::StoreNews> feed =
+          this->watcher.TellFeed()) {
+    this->SendFeed(*feed);
+  }
   if (is_time || urgency.data_centres) {
     const std::vector<std::string> remote = this->relay.RemoteRelays(now);
     const TrafficSum sum =
@@ -296,6 +304,18 @@
   }
 }
 
+void MeshNode::SendFeed(const protocol::StoreNews& news) {
+  protocol::Datagram datagram;
+  *datagram.mutable_store() = news;
+  datagram.mutable_store()->set_relay(this->settings.ip);
+  datagram.mutable_store()->set_incarnation(this->incarnation);
+  for (const std::string& ip : this->relay.Listeners(this->clock.Now())) {
+    if (ip != this->settings.ip) {
+      this->Send(ip, datagram);
+    }
+  }
+}
+
 void MeshNode::SendSum(const std::string& ip,
                        const std::string& data_centre,
                        const TrafficSum& sum) {
@@ -327,6 +347,8 @@
                          DecodeTrafficNews(datagram.node()), this->clock.Now());
   } else if (datagram.has_sum() && datagram.sum().relay() == ip) {
     this->TakeSum(ip, datagram.sum());
+  } else if (datagram.has_store() && datagram.store().relay() == ip) {
+    this->watcher.TakeFeed(datagram.store());
   }
 }
 
--- a/src/node/mesh_node.h
+++ b/src/node/mesh_node.h
@@ -52,6 +52,8 @@
   void TakeRest(const std::string& relay,
                 std::uint64_t relay_incarnation,
                 TrafficSum sum);
+  /// Tells the nodes that this one relays for what it reads of the store.
+  void SendFeed(const protocol::StoreNews& news);
   void Send(const std::string& ip, const protocol::Datagram& datagram);
   Awaitable<HttpResponse> AnswerReady();
   Awaitable<HttpResponse> AnswerOperator(HttpRequest request);
--- a/src/node/store_watcher.cc
+++ b/src/node/store_watcher.cc
@@ -25,6 +25,21 @@
 constexpr std::chrono::milliseconds kFirstPause{150};
 constexpr int kMostDoublings = 3;
 constexpr std::chrono::milliseconds kSettleInterval{100};
+/// Doublings while a relay, which tries more often, is there to notice first
+/// that the store is back.
+constexpr int kMostFedDoublings = 5;
+/// Time in which changes of targets gather before they are asked for again;
+/// each answer with a change is a call, and many come together.
+constexpr std::chrono::milliseconds kGatherTime{250};
+/// Time between two looks whether this node has to read the store itself.
+constexpr std::chrono::milliseconds kFeedCheckInterval{100};
+/// Longest time that a node waits before it reads what the feed shows to be
+/// missing: the change itself may be on its way, and others read too.
+constexpr std::chrono::milliseconds kMostCatchUpDelay{200};
+/// Time that a call for missing changes waits for any.
+constexpr std::chrono::milliseconds kCatchUpWait{100};
+/// Largest changes in bytes that are passed on in a datagram.
+constexpr std::size_t kMostFedBytes = std::size_t{32} * 1024;
 constexpr double kPauseJitter = 0.5;
 
 }  // namespace
@@ -47,6 +62,8 @@
        {platform::kOperatorPrefix, platform::kTargetPrefix}) {
     asio::co_spawn(this->context, this->Follow(std::string(prefix)),
                    asio::detached);
+    asio::co_spawn(this->context, this->CatchUp(std::string(prefix)),
+                   asio::detached);
   }
   asio::co_spawn(this->context, this->SettleDirectory(), asio::detached);
 }
@@ -60,14 +77,27 @@
   return lowest;
 }
 
+bool StoreWatcher::IsFed() const {
+  return !this->is_relay && this->store_feed.IsFed(this->clock.Now());
+}
+
+Awaitable<> StoreWatcher::Pause(Duration time) {
+  Timer timer(this->context, time);
+  ErrorCode ignored;
+  co_await timer.async_wait(Await(ignored));
+}
+
 Awaitable<> StoreWatcher::Follow(std::string prefix) {
   Progress& progress = this->progress_by_prefix[prefix];
   while (true) {
     bool is_answered = false;
     if (progress.revision == 0) {
       is_answered = co_await this->List(prefix, progress);
+    } else if (this->IsFed()) {
+      co_await this->Pause(kFeedCheckInterval);
+      continue;
     } else {
-      is_answered = co_await this->Watch(prefix, progress);
+      is_answered = co_await this->Watch(prefix, progress, kWatchWait);
     }
     if (is_answered) {
       progress.failures_in_row = 0;
@@ -75,18 +105,53 @@
       if (this->lost_prefixes.empty()) {
         this->ReportBack();
       }
+      if (prefix == platform::kTargetPrefix) {
+        co_await this->Pause(kGatherTime);
+      }
       continue;
     }
     this->lost_prefixes.insert(prefix);
     this->ReportLost(this->last_reason);
-    const int doublings = std::min(progress.failures_in_row++, kMostDoublings);
+    const int doublings =
+        std::min(progress.failures_in_row++,
+                 this->is_relay ? kMostDoublings : kMostFedDoublings);
     std::uniform_real_distribution<double> jitter(1 - kPauseJitter,
                                                   1 + kPauseJitter);
     const Duration pause = std::chrono::duration_cast<Duration>(
         kFirstPause * (1 << doublings) * jitter(this->random));
-    Timer timer(this->context, pause);
-    ErrorCode ignored;
-    co_await timer.async_wait(Await(ignored));
+    const TimePoint until = this->clock.Now() + pause;
+    while (this->clock.Now() < until && !this->IsFed()) {
+      co_await this->Pause(
+          std::min<Duration>(kFeedCheckInterval, until - this->clock.Now()));
+    }
+  }
+}
+
+Awaitable<> StoreWatcher::CatchUp(std::string prefix) {
+  Progress& progress = this->progress_by_prefix[prefix];
+  std::uniform_real_distribution<double> part(0, 1);
+  int failures_in_row = 0;
+  const auto is_behind = [&] {
+    return progress.revision != 0 &&
+           progress.revision <
+               this->store_feed.LastChange(prefix, this->clock.Now());
+  };
+  while (true) {
+    co_await this->Pause(kFeedCheckInterval);
+    if (!is_behind()) {
+      continue;
+    }
+    co_await this->Pause(std::chrono::duration_cast<Duration>(
+        kMostCatchUpDelay * part(this->random)));
+    if (!is_behind()) {
+      continue;
+    }
+    if (co_await this->Watch(prefix, progress, kCatchUpWait)) {
+      failures_in_row = 0;
+      continue;
+    }
+    co_await this->Pause(kFirstPause *
+                         (1 << std::min(failures_in_row++, kMostFedDoublings)));
   }
 }
 
@@ -123,17 +188,25 @@
   this->ReportBack();
   for (const StoreItem& item : items) {
     this->Apply(item);
+    progress.last_change = std::max(progress.last_change, item.revision);
   }
   this->KeepOnly(prefix, keys);
   progress.revision = std::max<std::uint64_t>(1, first_revision);
+  if (this->has_listed.contains(prefix)) {
+    // What was removed meanwhile shows in no item: all are to read anew.
+    progress.last_change = progress.revision;
+  }
+  this->has_listed.insert(prefix);
   this->on_change();
   co_return true;
 }
 
-Awaitable<bool> StoreWatcher::Watch(std::string prefix, Progress& progress) {
+Awaitable<bool> StoreWatcher::Watch(std::string prefix,
+                                    Progress& progress,
+                                    Duration wait) {
+  const std::uint64_t after = progress.revision;
   const std::optional<HttpResponse> response = co_await this->Ask(
-      platform::MakeWatchRequest(prefix, progress.revision, kWatchWait),
-      kWatchWait + kAnswerTime);
+      platform::MakeWatchRequest(prefix, after, wait), wait + kAnswerTime);
   if (!response) {
     co_return false;
   }
@@ -151,16 +224,116 @@
   if (this->lost_prefixes.erase(prefix) > 0 && this->lost_prefixes.empty()) {
     this->ReportBack();
   }
-  for (const StoreItem& item : page->items) {
-    this->Apply(item);
+  if (progress.revision == 0) {
+    // The other reader of this prefix has found its history gone.
+    co_return true;
   }
-  progress.revision = std::max(progress.revision, page->store_revision);
-  if (!page->items.empty()) {
+  if (this->ApplyChanges(page->items, page->store_revision, progress)) {
     this->on_change();
+    this->PassOn(prefix, after, *page);
   }
   co_return true;
 }
 
+bool StoreWatcher::ApplyChanges(const std::vector<StoreItem>& items,
+                                std::uint64_t up_to,
+                                Progress& progress) {
+  bool has_applied = false;
+  for (const StoreItem& item : items) {
+    if (item.revision > progress.revision) {
+      this->Apply(item);
+      progress.last_change = std::max(progress.last_change, item.revision);
+      has_applied = true;
+    }
+  }
+  progress.revision = std::max(progress.revision, up_to);
+  return has_applied;
+}
+
+void StoreWatcher::PassOn(const std::string& prefix,
+                          std::uint64_t after,
+                          const StorePage& page) {
+  std::optional<protocol::StoreNews> news = this->TellFeed();
+  if (!news || !this->feed) {
+    return;
+  }
+  std::size_t size = 0;
+  for (const StoreItem& item : page.items) {
+    size += item.key.size() + item.value.size();
+  }
+  if (size > kMostFedBytes) {
+    this->feed(*news);
+    return;
+  }
+  for (protocol::PrefixNews& row : *news->mutable_prefixes()) {
+    if (row.prefix() != prefix) {
+      continue;
+    }
+    row.set_after(after);
+    row.set_up_to(page.store_revision);
+    for (const StoreItem& item : page.items) {
+      protocol::StoreChange* change = row.add_changes();
+      change->set_key(item.key);
+      change->set_value(item.value);
+      change->set_revision(item.revision);
+      change->set_is_removed(item.is_removed);
+    }
+  }
+  this->feed(*news);
+}
+
+std::optional<protocol::StoreNews> StoreWatcher::TellFeed() const {
+  if (!this->is_relay || this->has_listed.empty()) {
+    return std::nullopt;
+  }
+  protocol::StoreNews news;
+  bool is_listed = true;
+  for (const auto& [prefix, progress] : this->progress_by_prefix) {
+    is_listed = is_listed && progress.revision != 0;
+    protocol::PrefixNews* row = news.add_prefixes();
+    row->set_prefix(prefix);
+    row->set_last_change(progress.last_change);
+  }
+  news.set_is_reachable(is_listed && this->lost_prefixes.empty());
+  news.set_outages(this->outages);
+  return news;
+}
+
+void StoreWatcher::TakeFeed(const protocol::StoreNews& news) {
+  FeedState state;
+  state.incarnation = news.incarnation();
+  state.is_reachable = news.is_reachable();
+  state.outages = news.outages();
+  for (const protocol::PrefixNews& row : news.prefixes()) {
+    state.last_changes[row.prefix()] = row.last_change();
+  }
+  if (this->store_feed.Take(news.relay(), state, this->clock.Now())) {
+    // Entries may have lapsed, although this node did not see the outage.
+    this->directory.StoreLost();
+  }
+  if (this->IsFed()) {
+    this->lost_prefixes.clear();
+    this->ReportBack();
+  }
+  bool has_applied = false;
+  for (const protocol::PrefixNews& row : news.prefixes()) {
+    const auto found = this->progress_by_prefix.find(row.prefix());
+    if (found == this->progress_by_prefix.end() || row.changes().empty() ||
+        found->second.revision == 0 || found->second.revision < row.after()) {
+      continue;
+    }
+    std::vector<StoreItem> items;
+    for (const protocol::StoreChange& change : row.changes()) {
+      items.push_back({change.key(), change.value(), change.revision(),
+                       change.is_removed()});
+    }
+    has_applied |= this->ApplyChanges(items, row.up_to(), found->second);
+  }
+  if (has_applied) {
+    this->on_change();
+  }
+}
+
 Awaitable<std::optional<HttpResponse>> StoreWatcher::Ask(HttpRequest request,
                                                          Duration timeout) {
   ++this->call_count;
@@ -264,6 +437,7 @@
 void StoreWatcher::ReportLost(const std::string& reason) {
   if (this->lost_prefixes.size() == 1) {
     LogEvent(EventId::kPlatformUnreachable, {{"reason", reason}});
+    ++this->outages;
   }
   this->directory.StoreLost();
 }
--- a/src/node/store_watcher.h
+++ b/src/node/store_watcher.h
@@ -9,9 +9,12 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "coordination/mesh_directory.h"
+#include "coordination/store_feed.h"
 #include "platform/store_calls.h"
+#include "protocol/generated/news_messages.pb.h"
 #include "state/clock.h"
 #include "state/settings.h"
 #include "transport/asio.h"
@@ -21,7 +24,10 @@
 /// Follows the platform's store and keeps the directory up to date.
 ///
 /// Lists each prefix once and then waits for its changes; lists again when the
-/// store no longer keeps the changes in between. Runs on the control thread.
+/// store no longer keeps the changes in between. A relay passes the changes on
+/// to the nodes of its data centre; a node that is fed by a relay does not wait
+/// at the store itself, and reads there only what it finds missing. Runs on the
+/// control thread.
 class StoreWatcher {
  public:
   /// `on_change` is called after the directory has changed.
@@ -34,6 +40,18 @@
 
   void Start();
 
+  /// Sets what takes changes that this node, as a relay, is to pass on.
+  void SetFeeder(std::function<void(const protocol::StoreNews&)> next) {
+    this->feed = std::move(next);
+  }
+  /// Whether this node watches the store for others.
+  void SetRelay(bool is_one) { this->is_relay = is_one; }
+  /// Takes what a relay tells of the store.
+  void TakeFeed(const protocol::StoreNews& news);
+  /// What a relay tells without an occasion; nothing while this node is fed by
+  /// others.
+  std::optional<protocol::StoreNews> TellFeed() const;
+
   /// Highest revision of the store that was applied for both prefixes.
   std::uint64_t Revision() const;
   std::uint64_t CallCount() const { return this->call_count; }
@@ -41,14 +59,28 @@
  private:
   /// How far a prefix has been followed.
   struct Progress {
-    /// 0 as long as the prefix has to be listed.
+    /// Everything up to this revision is applied; 0 as long as the prefix has
+    /// to be listed.
     std::uint64_t revision = 0;
+    /// Revision of the last change that is known.
+    std::uint64_t last_change = 0;
     int failures_in_row = 0;
   };
 
   Awaitable<> Follow(std::string prefix);
   Awaitable<bool> List(std::string prefix, Progress& progress);
-  Awaitable<bool> Watch(std::string prefix, Progress& progress);
+  Awaitable<bool> Watch(std::string prefix, Progress& progress, Duration wait);
+  /// Reads what the feed shows to be missing.
+  Awaitable<> CatchUp(std::string prefix);
+  bool IsFed() const;
+  Awaitable<> Pause(Duration time);
+  /// Applies what is newer than what was applied; true if there was any.
+  bool ApplyChanges(const std::vector<platform::StoreItem>& items,
+                    std::uint64_t up_to,
+                    Progress& progress);
+  void PassOn(const std::string& prefix,
+              std::uint64_t after,
+              const platform::StorePage& page);
   /// The store's answer; nothing when none came.
   Awaitable<std::optional<HttpResponse>> Ask(HttpRequest request,
                                              Duration timeout);
@@ -67,7 +99,13 @@
   MeshDirectory& directory;
   std::function<void()> on_change;
   std::map<std::string, Progress, std::less<>> progress_by_prefix;
+  /// Prefixes that were listed at least once.
+  std::set<std::string> has_listed;
   std::set<std::string> lost_prefixes;
+  StoreFeed store_feed;
+  std::function<void(const protocol::StoreNews&)> feed;
+  bool is_relay = false;
+  std::uint64_t outages = 0;
   std::uint64_t call_count = 0;
   std::string last_reason;
 };
