--- a/src/coordination/customer_ledger.cc
+++ b/src/coordination/customer_ledger.cc
@@ -230,7 +230,9 @@
     return "unknown";
   }
   const Account& account = found->second;
-  return "tokens " + std::to_string(account.tokens) + " own " +
+  return "rate " + std::to_string(account.rate) + " burst " +
+         std::to_string(account.burst) + " tokens " +
+         std::to_string(account.tokens) + " own " +
          std::to_string(account.own_tokens) + " part " +
          std::to_string(account.agreed_part) + " demand " +
          std::to_string(account.told_demand) + " others " +
