Go on counting when another relay is gone by; keep burst for silent nodes

Ruled out: adding the silent part of the burst to the counts once, as buckets refill to their cap. What each relay told when the other was heard is kept, and the silent part of the burst lowers the cap.

--- a/src/coordination/customer_ledger.cc
+++ b/src/coordination/customer_ledger.cc
@@ -58,7 +58,7 @@
       account.own_tokens = kLeastOwnTokens;
       account.refilled_at = now;
     }
-    account.tokens = std::min(account.tokens, account.burst);
+    account.tokens = std::min(account.tokens, CapacityOf(account));
     kept[customer.name] = account;
   }
   this->accounts = std::move(kept);
@@ -80,7 +80,7 @@
   for (const auto& [customer, use] : uses) {
     PeerUse& last = peer.uses[customer];
     // Counts of another run compare with nothing; the pace goes on meanwhile.
-    PeerUse told = {use.admitted, use.demand, last.pace};
+    PeerUse told = {use.admitted, use.demand, last.pace, use.reserved};
     if (is_known && use.admitted >= last.admitted && span > kLeastSpan) {
       const double taken = static_cast<double>(use.admitted - last.admitted);
       told.pace = taken / span;
@@ -88,8 +88,8 @@
       if (account != this->accounts.end()) {
         // What was reckoned for the peer meanwhile was a guess.
         Account& known = account->second;
-        known.tokens =
-            std::min(known.burst, known.tokens - (taken - last.pace * span));
+        known.tokens = std::min(CapacityOf(known),
+                                known.tokens - (taken - last.pace * span));
         if (now - peer.heard_at > kSilence) {
           known.tokens = std::max(known.tokens, -kMostDebtSeconds * known.rate);
         }
@@ -127,6 +127,7 @@
   for (auto& [name, account] : this->accounts) {
     account.others_demand = 0;
     account.others_pace = 0;
+    account.reserved = 0;
   }
   for (const auto& [node, peer] : this->peers) {
     for (const auto& [customer, use] : peer.uses) {
@@ -134,6 +135,7 @@
       if (account != this->accounts.end()) {
         account->second.others_demand += use.demand;
         account->second.others_pace += use.pace;
+        account->second.reserved += use.reserved;
       }
     }
   }
@@ -173,7 +175,7 @@
   const double elapsed = std::max(0.0, ToSeconds(now - account.refilled_at));
   account.refilled_at = now;
   account.tokens =
-      std::min(account.burst,
+      std::min(CapacityOf(account),
                account.tokens + elapsed * (account.rate - account.others_pace));
   const double most = kLeastOwnTokens + std::max(0.0, account.tokens) * part;
   account.own_tokens =
@@ -188,7 +190,10 @@
   Account& account = found->second;
   account.own_demand.Add(1, now);
   Refill(account, this->PartOf(account, now), now);
-  const double error = kErrorPart * this->AllowanceOf(account);
+  // Nodes that are not heard have their part of it too.
+  const double heard_part =
+      account.burst > 0 ? CapacityOf(account) / account.burst : 1;
+  const double error = kErrorPart * this->AllowanceOf(account) * heard_part;
   const bool is_short =
       account.tokens < kLowPart * account.burst - error / 2 &&
       account.told_demand + account.others_demand > kHeldPart * account.rate;
--- a/src/coordination/customer_ledger.h
+++ b/src/coordination/customer_ledger.h
@@ -1,6 +1,7 @@
 #ifndef DAISYWINCH_COORDINATION_CUSTOMER_LEDGER_H
 #define DAISYWINCH_COORDINATION_CUSTOMER_LEDGER_H
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -80,6 +81,8 @@
     /// What the other nodes ask for and admit, in requests per second.
     double others_demand = 0;
     double others_pace = 0;
+    /// Part of the burst, in requests, that is left to nodes not heard.
+    double reserved = 0;
     /// Part of the rate that was this node's when it last heard all others.
     double agreed_part = 0;
   };
@@ -90,6 +93,7 @@
     double demand = 0;
     /// Requests per second that it admitted between its last two news.
     double pace = 0;
+    double reserved = 0;
   };
 
   struct Peer {
@@ -101,6 +105,10 @@
   };
 
   static void Refill(Account& account, double part, TimePoint now);
+  /// The most tokens that this node's copy of the bucket holds.
+  static double CapacityOf(const Account& account) {
+    return account.burst - std::min(account.burst, account.reserved);
+  }
   void SumPeers();
   /// Requests in a window that the operators allow beyond rate and burst.
   double AllowanceOf(const Account& account) const;
--- a/src/coordination/news_relay.cc
+++ b/src/coordination/news_relay.cc
@@ -20,11 +20,6 @@
 /// tries whether it answers again.
 constexpr std::chrono::milliseconds kSuspicion{1500};
 constexpr std::chrono::milliseconds kRetry{3000};
-/// Silence of the relay that a node goes by before another takes its place; a
-/// single lost datagram is no reason.
-constexpr std::chrono::milliseconds kRelaySilence{1200};
-/// Part of the members of another sum below which a sum is incomplete.
-constexpr double kCompletePart = 0.8;
 /// Time for which a node that left the list without a word is reckoned with.
 constexpr std::chrono::seconds kRemembered{30};
 /// News that come sooner after the last than this are told on at once; nodes
@@ -40,6 +35,13 @@
   this->listed = std::move(next);
 }
 
+void NewsRelay::SetConfiguration(const MeshConfiguration& configuration) {
+  this->limits.clear();
+  for (const MeshCustomer& customer : configuration.Customers()) {
+    this->limits[customer.name] = {customer.rate, customer.burst};
+  }
+}
+
 void NewsRelay::TakeNode(const std::string& node,
                          std::uint64_t incarnation,
                          const TrafficNews& news,
@@ -50,9 +52,21 @@
   if (!is_new && now - source.heard_at < kUrgentGap) {
     this->urgency = {true, true};
   }
-  // A node that this relay knew and that has started anew counts from zero;
-  // of one that it never heard, it knows no earlier count to compare with.
-  this->TakeSource(source, incarnation, !is_new, news.customers, now);
+  const bool is_same_run = source.incarnation == incarnation;
+  source.incarnation = incarnation;
+  std::map<std::string, double> deltas;
+  for (const auto& [customer, use] : news.customers) {
+    // A node that this relay knew and that has started anew counts from zero;
+    // of one that it never heard, no earlier count is known to compare with.
+    Count& count = source.customers[customer];
+    const std::uint64_t before = is_same_run ? count.told : 0;
+    if (!is_new && use.admitted >= before) {
+      deltas[customer] = static_cast<double>(use.admitted - before);
+    }
+    count.told = use.admitted;
+  }
+  this->ReckonSilenceOf(source, now);
+  AddDeltas(source, deltas, news.customers, now);
   source.is_leaving = news.is_leaving;
   source.load = LoadSum();
   AddTo(source.load, news.load);
@@ -68,61 +82,56 @@
     return;
   }
   Source& source = this->data_centres[other];
-  const bool is_current = source.relay == relay;
-  const bool is_better = now - source.heard_at > kRelaySilence ||
-                         source.members < kCompletePart * sum.members;
-  if (!is_current && !is_better) {
+  std::map<std::string, double> deltas;
+  if (!source.relayed.Take(relay, incarnation, sum.members, sum.customers, now,
+                           deltas)) {
     return;
   }
-  if (is_current && now - source.heard_at < kUrgentGap) {
+  if (now - source.heard_at < kUrgentGap) {
     this->urgency.listeners = true;
   }
-  source.relay = relay;
-  this->TakeSource(source, incarnation, false, sum.customers, now);
+  this->ReckonSilenceOf(source, now);
+  AddDeltas(source, deltas, sum.customers, now);
   source.members = sum.members;
   source.load = std::move(sum.load);
 }
 
 bool NewsRelay::TakeRest(const std::string& relay,
-                         std::uint32_t members,
+                         std::uint64_t incarnation,
+                         TrafficSum& sum,
                          TimePoint now) {
   this->Heard(relay);
-  const bool is_better = now - this->rest_heard_at > kRelaySilence ||
-                         this->rest_members < kCompletePart * members;
-  if (relay != this->rest_relay && !is_better) {
+  std::map<std::string, double> deltas;
+  if (!this->rest.Take(relay, incarnation, sum.members, sum.customers, now,
+                       deltas)) {
     return false;
   }
-  this->rest_relay = relay;
-  this->rest_members = members;
-  this->rest_heard_at = now;
+  for (const auto& [customer, delta] : deltas) {
+    this->rest_counts[customer] += delta;
+  }
+  for (auto& [customer, use] : sum.customers) {
+    use.admitted = static_cast<std::uint64_t>(this->rest_counts[customer]);
+  }
   return true;
 }
 
-void NewsRelay::TakeSource(Source& source,
-                           std::uint64_t incarnation,
-                           bool counts_from_zero,
-                           const std::map<std::string, CustomerUse>& customers,
-                           TimePoint now) {
-  this->ReckonSilenceOf(source, now);
-  const bool is_same = source.incarnation == incarnation;
-  const bool has_baseline = is_same || counts_from_zero;
-  for (auto& [customer, count] : source.customers) {
-    count.demand = 0;
-    count.told = is_same ? count.told : 0;
+void NewsRelay::AddDeltas(Source& source,
+                          const std::map<std::string, double>& deltas,
+                          const std::map<std::string, CustomerUse>& uses,
+                          TimePoint now) {
+  for (const auto& [customer, use] : uses) {
+    source.customers.try_emplace(customer);
   }
-  for (const auto& [customer, use] : customers) {
+  for (const auto& [customer, delta] : deltas) {
     Count& count = source.customers[customer];
-    count.demand = use.demand;
-    const double admitted = has_baseline && use.admitted >= count.told
-                                ? static_cast<double>(use.admitted - count.told)
-                                : 0;
-    count.counted += std::max(0.0, admitted - count.reckoned);
-    count.told = use.admitted;
+    count.counted += std::max(0.0, delta - count.reckoned);
   }
   for (auto& [customer, count] : source.customers) {
+    const auto use = uses.find(customer);
+    count.demand = use == uses.end() ? 0 : use->second.demand;
+    count.reserved = use == uses.end() ? 0 : use->second.reserved;
     count.reckoned = 0;
   }
-  source.incarnation = incarnation;
   source.heard_at = now;
   source.is_silent = false;
 }
@@ -166,12 +175,10 @@
   const double elapsed = ToSeconds(now - source.reckoned_until);
   source.reckoned_until = now;
   for (auto& [customer, count] : source.customers) {
-    const auto rate = this->rates.find(customer);
-    if (rate != this->rates.end()) {
-      const double possible = rate->second * count.silent_part * elapsed;
-      count.counted += possible;
-      count.reckoned += possible;
-    }
+    const double possible =
+        this->LimitOf(customer).rate * count.silent_part * elapsed;
+    count.counted += possible;
+    count.reckoned += possible;
   }
 }
 
@@ -252,17 +259,27 @@
   return listeners;
 }
 
+NewsRelay::Limit NewsRelay::LimitOf(const std::string& customer) const {
+  const auto found = this->limits.find(customer);
+  return found == this->limits.end() ? Limit() : found->second;
+}
+
 void NewsRelay::AddSource(const Source& source,
                           TimePoint now,
-                          TrafficSum& sum) {
+                          TrafficSum& sum) const {
   if (now - source.heard_at <= kListening) {
     AddTo(sum.load, source.load);
     sum.members += source.members;
   }
   for (const auto& [customer, count] : source.customers) {
-    if (!source.is_leaving) {
-      sum.customers[customer].demand += count.demand;
+    if (source.is_leaving) {
+      continue;
     }
+    CustomerUse& use = sum.customers[customer];
+    use.demand += count.demand;
+    use.reserved += source.is_silent
+                        ? this->LimitOf(customer).burst * count.silent_part
+                        : count.reserved;
   }
 }
 
--- a/src/coordination/news_relay.h
+++ b/src/coordination/news_relay.h
@@ -8,8 +8,10 @@
 #include <string>
 #include <vector>
 
+#include "coordination/relayed_counts.h"
 #include "coordination/traffic_sum.h"
 #include "state/clock.h"
+#include "state/mesh_configuration.h"
 
 namespace daisywinch {
 
@@ -32,8 +34,8 @@
 ///
 /// Sums of admitted requests never shrink in one run of a relay. For a node or
 /// a data centre that is silent without having said that it stops, the relay
-/// reckons with its part of each customer's rate, as that is what it may go on
-/// admitting.
+/// reckons with its part of each customer's burst, and of its rate for as long
+/// as it is silent, as that is what it may go on admitting.
 ///
 /// Runs on the control thread.
 class NewsRelay {
@@ -42,10 +44,7 @@
 
   /// The VMs that are listed, by data centre; the own one among them.
   void SetNodes(std::map<std::string, std::set<std::string>> listed);
-  /// The customers' rates in requests per second.
-  void SetRates(std::map<std::string, double> next) {
-    this->rates = std::move(next);
-  }
+  void SetConfiguration(const MeshConfiguration& configuration);
 
   /// Takes what a node of the own data centre tells, this one among them.
   void TakeNode(const std::string& node,
@@ -58,10 +57,13 @@
                       std::uint64_t incarnation,
                       TrafficSum sum,
                       TimePoint now);
-  /// Takes notice that a relay has told this node the sum of all others;
-  /// whether this node is to go by it. It goes by one relay at a time, as each
-  /// counts from its own start.
-  bool TakeRest(const std::string& relay, std::uint32_t members, TimePoint now);
+  /// Takes the sum of all others from a relay; whether this node is to go by
+  /// it. It goes by one relay at a time; the counts are made to go on from
+  /// those of the last.
+  bool TakeRest(const std::string& relay,
+                std::uint64_t incarnation,
+                TrafficSum& sum,
+                TimePoint now);
 
   /// The nodes to tell this node's own news; it may be among them itself.
   std::vector<std::string> OwnRelays(TimePoint now);
@@ -86,15 +88,23 @@
   Urgency TakeUrgency();
 
  private:
+  /// Rate and burst of a customer.
+  struct Limit {
+    double rate = 0;
+    double burst = 0;
+  };
+
   /// One customer's use at a node or in a data centre.
   struct Count {
-    /// The count that was told last.
+    /// For a node, the count that it told last.
     std::uint64_t told = 0;
     /// Requests counted since this relay started.
     double counted = 0;
     /// The part of them that was reckoned in the present silence.
     double reckoned = 0;
     double demand = 0;
+    /// For a data centre, what it has told of as reserved.
+    double reserved = 0;
     /// Part of the fleet's demand when the silence began.
     double silent_part = 0;
   };
@@ -102,8 +112,8 @@
   /// A node of the own data centre, or another data centre.
   struct Source {
     std::uint64_t incarnation = 0;
-    /// For a data centre, the relay that tells of it.
-    std::string relay;
+    /// For a data centre, what its relays count.
+    RelayedCounts relayed;
     TimePoint heard_at;
     /// Until when a silence has been reckoned with.
     TimePoint reckoned_until;
@@ -122,11 +132,11 @@
     TimePoint tried_at;
   };
 
-  void TakeSource(Source& source,
-                  std::uint64_t incarnation,
-                  bool counts_from_zero,
-                  const std::map<std::string, CustomerUse>& customers,
-                  TimePoint now);
+  /// Adds what a source admitted since its last news, by customer.
+  static void AddDeltas(Source& source,
+                        const std::map<std::string, double>& deltas,
+                        const std::map<std::string, CustomerUse>& uses,
+                        TimePoint now);
   /// Reckons with what silent sources may have admitted.
   void ReckonSilence(TimePoint now);
   void ReckonSilenceOf(Source& source, TimePoint now);
@@ -136,23 +146,24 @@
                                         TimePoint now);
   bool IsSuspected(const std::string& vm, TimePoint now) const;
   void Heard(const std::string& vm) { this->contacts[vm].asked_at.reset(); }
-  static void AddSource(const Source& source, TimePoint now, TrafficSum& sum);
+  void AddSource(const Source& source, TimePoint now, TrafficSum& sum) const;
+  /// Rate and burst of a customer; zero for one that is not configured.
+  Limit LimitOf(const std::string& customer) const;
   static void Round(const std::map<std::string, double>& counts,
                     TrafficSum& sum);
 
   std::string ip;
   std::string data_centre;
   std::map<std::string, std::set<std::string>> listed;
-  std::map<std::string, double> rates;
+  std::map<std::string, Limit> limits;
   std::map<std::string, Source> nodes;
   std::map<std::string, Source> data_centres;
   /// Counts of nodes that are forgotten.
   std::map<std::string, double> departed;
   std::map<std::string, Contact> contacts;
-  /// The relay that this node goes by.
-  std::string rest_relay;
-  std::uint32_t rest_members = 0;
-  TimePoint rest_heard_at;
+  /// What the relays tell this node of all others, and its sum.
+  RelayedCounts rest;
+  std::map<std::string, double> rest_counts;
   Urgency urgency;
 };
 
--- /dev/null
+++ b/src/coordination/relayed_counts.h
@@ -0,0 +1,57 @@
+#ifndef DAISYWINCH_COORDINATION_RELAYED_COUNTS_H
+#define DAISYWINCH_COORDINATION_RELAYED_COUNTS_H
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "coordination/traffic_sum.h"
+#include "state/clock.h"
+
+namespace daisywinch {
+
+/// Follows what two or more relays count of the same nodes, one at a time.
+///
+/// Each relay counts from its own start, so its counts compare only with its
+/// own earlier ones. What the others told when the followed relay was last
+/// heard is remembered: when another takes its place, nothing that was counted
+/// in between is lost.
+class RelayedCounts {
+ public:
+  using Counts = std::map<std::string, CustomerUse>;
+
+  /// Takes what a relay tells. Returns whether it is the one to go by now; then
+  /// `deltas` holds what was admitted since the last news that was gone by. Of
+  /// a relay that has no earlier counts, the pace of before is taken to go on.
+  bool Take(const std::string& relay,
+            std::uint64_t incarnation,
+            std::uint32_t members,
+            const Counts& counts,
+            TimePoint now,
+            std::map<std::string, double>& deltas);
+
+ private:
+  struct Relay {
+    std::uint64_t incarnation = 0;
+    TimePoint heard_at;
+    std::uint32_t members = 0;
+    Counts latest;
+    /// The counts when the followed relay was last heard.
+    Counts base;
+    bool has_base = false;
+  };
+
+  bool ShouldFollow(const std::string& relay,
+                    std::uint32_t members,
+                    TimePoint now) const;
+
+  std::map<std::string, Relay> relays;
+  std::string followed;
+  TimePoint followed_at;
+  /// Requests per second between the last two news, by customer.
+  std::map<std::string, double> paces;
+};
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_COORDINATION_RELAYED_COUNTS_H
--- a/src/coordination/traffic_sum.h
+++ b/src/coordination/traffic_sum.h
@@ -17,6 +17,8 @@
   std::uint64_t admitted = 0;
   /// Requests per second that are asked for.
   double demand = 0;
+  /// Part of the burst, in requests, that is left to nodes that are not heard.
+  double reserved = 0;
 };
 
 /// What one node tells of the load that it sees.
--- a/src/node/mesh_entry.cc
+++ b/src/node/mesh_entry.cc
@@ -41,6 +41,8 @@
 
 /// Name under which the traffic of all other nodes is kept.
 constexpr char kOthers[] = "others";
+/// Their counts go on as long as this process runs.
+constexpr std::uint64_t kOneRun = 1;
 /// Time without news of the fleet after which a node goes by its own load.
 constexpr std::chrono::milliseconds kFleetSilence{2500};
 
@@ -323,9 +325,9 @@
   return std::chrono::duration_cast<Duration>(objective * part(this->random));
 }
 
-void MeshEntry::TakeNews(std::uint64_t incarnation, TrafficSum news) {
+void MeshEntry::TakeNews(TrafficSum news) {
   const TimePoint now = this->clock.Now();
-  this->ledger.TakeNews(kOthers, incarnation, news.customers, false, now);
+  this->ledger.TakeNews(kOthers, kOneRun, news.customers, false, now);
   this->fleet_load.TakeSum(kOthers, std::move(news.load), now);
   this->fleet_heard_at = now;
 }
--- a/src/node/mesh_entry.h
+++ b/src/node/mesh_entry.h
@@ -48,9 +48,8 @@
   Awaitable<HttpResponse> Handle(HttpRequest request,
                                  std::shared_ptr<Cancellation> cancellation);
 
-  /// Takes what a relay tells of the traffic of all other nodes.
-  /// `incarnation` names the run of the relay that counts.
-  void TakeNews(std::uint64_t incarnation, TrafficSum news);
+  /// Takes the traffic of all other nodes; counts go on from the last.
+  void TakeNews(TrafficSum news);
   /// Whether the other nodes should hear from this one at once.
   bool HasUrgentNews() const {
     return this->ledger.IsFarAhead(this->clock.Now());
--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -163,11 +163,7 @@
   this->views.Publish(view);
   this->relay.SetNodes(view->VmsByDataCentre());
   if (view->Configuration() != nullptr) {
-    std::map<std::string, double> rates;
-    for (const MeshCustomer& customer : view->Configuration()->Customers()) {
-      rates[customer.name] = customer.rate;
-    }
-    this->relay.SetRates(std::move(rates));
+    this->relay.SetConfiguration(*view->Configuration());
   }
   if (!was_ready && this->IsReady()) {
     LogEvent(EventId::kNodeReady, {{"vm", this->settings.vm}});
@@ -365,13 +361,13 @@
 void MeshNode::TakeRest(const std::string& relay_ip,
                         std::uint64_t relay_incarnation,
                         TrafficSum sum) {
-  if (!this->relay.TakeRest(relay_ip, sum.members, this->clock.Now())) {
+  if (!this->relay.TakeRest(relay_ip, relay_incarnation, sum,
+                            this->clock.Now())) {
     return;
   }
-  asio::post(this->traffic_context,
-             [this, relay_incarnation, sum = std::move(sum)]() mutable {
-               this->entry.TakeNews(relay_incarnation, std::move(sum));
-             });
+  asio::post(this->traffic_context, [this, sum = std::move(sum)]() mutable {
+    this->entry.TakeNews(std::move(sum));
+  });
 }
 
 Awaitable<> MeshNode::ShutDownOnSignal() {
--- a/src/node/store_watcher.cc
+++ b/src/node/store_watcher.cc
@@ -132,7 +132,7 @@
   std::uniform_real_distribution<double> part(0, 1);
   int failures_in_row = 0;
   const auto is_behind = [&] {
-    return progress.revision != 0 &&
+    return this->has_listed.contains(prefix) &&
            progress.revision <
                this->store_feed.LastChange(prefix, this->clock.Now());
   };
@@ -146,7 +146,12 @@
     if (!is_behind()) {
       continue;
     }
-    if (co_await this->Watch(prefix, progress, kCatchUpWait)) {
+    bool is_answered = co_await this->Watch(prefix, progress, kCatchUpWait);
+    if (is_answered && progress.revision == 0) {
+      // The changes are no longer kept; the other reader may be waiting still.
+      is_answered = co_await this->List(prefix, progress);
+    }
+    if (is_answered) {
       failures_in_row = 0;
       continue;
     }
@@ -188,14 +193,11 @@
   this->ReportBack();
   for (const StoreItem& item : items) {
     this->Apply(item);
-    progress.last_change = std::max(progress.last_change, item.revision);
   }
   this->KeepOnly(prefix, keys);
   progress.revision = std::max<std::uint64_t>(1, first_revision);
-  if (this->has_listed.contains(prefix)) {
-    // What was removed meanwhile shows in no item: all are to read anew.
-    progress.last_change = progress.revision;
-  }
+  // What was removed shows in no item: whoever knows less has to read.
+  progress.last_change = progress.revision;
   this->has_listed.insert(prefix);
   this->on_change();
   co_return true;
@@ -205,6 +207,7 @@
                                     Progress& progress,
                                     Duration wait) {
   const std::uint64_t after = progress.revision;
+  const std::uint64_t last_change = progress.last_change;
   const std::optional<HttpResponse> response = co_await this->Ask(
       platform::MakeWatchRequest(prefix, after, wait), wait + kAnswerTime);
   if (!response) {
@@ -230,7 +233,7 @@
   }
   if (this->ApplyChanges(page->items, page->store_revision, progress)) {
     this->on_change();
-    this->PassOn(prefix, after, *page);
+    this->PassOn(prefix, last_change, *page);
   }
   co_return true;
 }
@@ -251,7 +254,7 @@
 }
 
 void StoreWatcher::PassOn(const std::string& prefix,
-                          std::uint64_t after,
+                          std::uint64_t last_change,
                           const StorePage& page) {
   std::optional<protocol::StoreNews> news = this->TellFeed();
   if (!news || !this->feed) {
@@ -269,8 +272,7 @@
     if (row.prefix() != prefix) {
       continue;
     }
-    row.set_after(after);
-    row.set_up_to(page.store_revision);
+    row.set_after(last_change);
     for (const StoreItem& item : page.items) {
       protocol::StoreChange* change = row.add_changes();
       change->set_key(item.key);
@@ -293,6 +295,7 @@
     protocol::PrefixNews* row = news.add_prefixes();
     row->set_prefix(prefix);
     row->set_last_change(progress.last_change);
+    row->set_up_to(progress.revision);
   }
   news.set_is_reachable(is_listed && this->lost_prefixes.empty());
   news.set_outages(this->outages);
@@ -318,16 +321,22 @@
   bool has_applied = false;
   for (const protocol::PrefixNews& row : news.prefixes()) {
     const auto found = this->progress_by_prefix.find(row.prefix());
-    if (found == this->progress_by_prefix.end() || row.changes().empty() ||
-        found->second.revision == 0 || found->second.revision < row.after()) {
+    if (found == this->progress_by_prefix.end() ||
+        found->second.revision == 0) {
       continue;
     }
-    std::vector<StoreItem> items;
-    for (const protocol::StoreChange& change : row.changes()) {
-      items.push_back({change.key(), change.value(), change.revision(),
-                       change.is_removed()});
+    Progress& progress = found->second;
+    if (!row.changes().empty() && progress.revision >= row.after()) {
+      std::vector<StoreItem> items;
+      for (const protocol::StoreChange& change : row.changes()) {
+        items.push_back({change.key(), change.value(), change.revision(),
+                         change.is_removed()});
+      }
+      has_applied |= this->ApplyChanges(items, row.up_to(), progress);
+    } else if (progress.revision >= row.last_change()) {
+      // Nothing has changed since; the store may forget what was before.
+      progress.revision = std::max(progress.revision, row.up_to());
     }
-    has_applied |= this->ApplyChanges(items, row.up_to(), found->second);
   }
   if (has_applied) {
     this->on_change();
--- a/src/node/store_watcher.h
+++ b/src/node/store_watcher.h
@@ -78,8 +78,10 @@
   bool ApplyChanges(const std::vector<platform::StoreItem>& items,
                     std::uint64_t up_to,
                     Progress& progress);
+  /// Tells the nodes that this one relays for of changes after the last one
+  /// that was known.
   void PassOn(const std::string& prefix,
-              std::uint64_t after,
+              std::uint64_t last_change,
               const platform::StorePage& page);
   /// The store's answer; nothing when none came.
   Awaitable<std::optional<HttpResponse>> Ask(HttpRequest request,
--- a/src/protocol/news_codec.cc
+++ b/src/protocol/news_codec.cc
@@ -21,6 +21,7 @@
     demand->set_customer(customer);
     demand->set_rate(static_cast<float>(use.demand));
     demand->set_admitted(use.admitted);
+    demand->set_reserved(static_cast<float>(use.reserved));
   }
 }
 
@@ -29,7 +30,8 @@
   std::map<std::string, CustomerUse> customers;
   for (const protocol::CustomerDemand& demand : news.customers()) {
     customers[demand.customer()] = {demand.admitted(),
-                                    ReadFigure(demand.rate())};
+                                    ReadFigure(demand.rate()),
+                                    ReadFigure(demand.reserved())};
   }
   return customers;
 }
