Take a silent part as of the last news; reckon with news on their way

The parts of a cut data centre were computed when its silence was noticed: by then only the own side's demand had grown, and a node alone took a quarter of the rate. They are those of the demand at its last news now. While a customer is over its rate, what the others admit on the way of the news counts too. Ruled out: a smaller error part of the allowance, and a smaller widening (usual demand refused, bounds broken all the same). news_relay and customer_ledger: within their bounds.

--- a/src/coordination/customer_ledger.cc
+++ b/src/coordination/customer_ledger.cc
@@ -33,6 +33,9 @@
 /// Debt, in seconds of the rate, beyond which what others took is forgiven: it
 /// was taken over a long silence, in which the rate flowed on.
 constexpr double kMostDebtSeconds = 1;
+/// Mean age in seconds of what the others have told when it is heard: both the
+/// node and its relay tell twice a second.
+constexpr double kNewsDelay = 0.4;
 /// Requests beyond what was told that are not worth telling at once.
 constexpr double kFewRequests = 2;
 /// News closer together than this say nothing of a pace.
@@ -194,11 +197,14 @@
   const double heard_part =
       account.burst > 0 ? CapacityOf(account) / account.burst : 1;
   const double error = kErrorPart * this->AllowanceOf(account) * heard_part;
-  const bool is_short =
-      account.tokens < kLowPart * account.burst - error / 2 &&
+  const bool is_over_rate =
       account.told_demand + account.others_demand > kHeldPart * account.rate;
+  const bool is_short =
+      account.tokens < kLowPart * account.burst - error / 2 && is_over_rate;
+  const double on_the_way = is_over_rate ? account.others_pace * kNewsDelay : 0;
   const bool is_held = is_short || this->IsAnyoneSilent(now);
-  if (account.tokens < 1 - error || (is_held && account.own_tokens < 1)) {
+  if (account.tokens - on_the_way < 1 - error ||
+      (is_held && account.own_tokens < 1)) {
     return false;
   }
   account.tokens -= 1;
--- a/src/coordination/news_relay.cc
+++ b/src/coordination/news_relay.cc
@@ -20,6 +20,9 @@
 /// tries whether it answers again.
 constexpr std::chrono::milliseconds kSuspicion{1500};
 constexpr std::chrono::milliseconds kRetry{3000};
+/// Time for which the fleet's demand is kept; longer than the silence in which
+/// a source is still waited for.
+constexpr std::chrono::seconds kRecorded{3};
 /// Time for which a node that left the list without a word is reckoned with.
 constexpr std::chrono::seconds kRemembered{30};
 /// News that come sooner after the last than this are told on at once; nodes
@@ -168,8 +171,9 @@
     source.is_silent = true;
     source.reckoned_until = source.heard_at;
     for (auto& [customer, count] : source.customers) {
-      const double demand = this->DemandOf(customer);
-      count.silent_part = demand > 0 ? count.demand / demand : 0;
+      // As of then: since, only the demand of those still heard has changed.
+      const double demand = this->DemandAt(customer, source.heard_at);
+      count.silent_part = demand > 0 ? std::min(1.0, count.demand / demand) : 0;
     }
   }
   const double elapsed = ToSeconds(now - source.reckoned_until);
@@ -182,18 +186,37 @@
   }
 }
 
-double NewsRelay::DemandOf(const std::string& customer) const {
-  double demand = 0;
+void NewsRelay::RecordDemand(TimePoint now) {
+  DemandRecord record = {now, {}};
   for (const std::map<std::string, Source>* sources :
        {&this->nodes, &this->data_centres}) {
     for (const auto& [name, source] : *sources) {
-      const auto count = source.customers.find(customer);
-      if (!source.is_leaving && count != source.customers.end()) {
-        demand += count->second.demand;
+      if (source.is_leaving) {
+        continue;
       }
+      for (const auto& [customer, count] : source.customers) {
+        record.demands[customer] += count.demand;
+      }
+    }
+  }
+  this->demand_records.push_back(std::move(record));
+  while (now - this->demand_records.front().at > kRecorded) {
+    this->demand_records.pop_front();
+  }
+}
+
+double NewsRelay::DemandAt(const std::string& customer, TimePoint time) const {
+  const DemandRecord* found = nullptr;
+  for (const DemandRecord& record : this->demand_records) {
+    if (found == nullptr || record.at <= time) {
+      found = &record;
     }
   }
-  return demand;
+  if (found == nullptr) {
+    return 0;
+  }
+  const auto demand = found->demands.find(customer);
+  return demand == found->demands.end() ? 0 : demand->second;
 }
 
 bool NewsRelay::IsSuspected(const std::string& vm, TimePoint now) const {
@@ -306,6 +329,7 @@
 
 FleetSum NewsRelay::Fleet(TimePoint now) {
   this->ReckonSilence(now);
+  this->RecordDemand(now);
   FleetSum fleet;
   fleet.counts = this->departed;
   for (const std::map<std::string, Source>* sources :
--- a/src/coordination/news_relay.h
+++ b/src/coordination/news_relay.h
@@ -2,6 +2,7 @@
 #define DAISYWINCH_COORDINATION_NEWS_RELAY_H
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -140,7 +141,10 @@
   /// Reckons with what silent sources may have admitted.
   void ReckonSilence(TimePoint now);
   void ReckonSilenceOf(Source& source, TimePoint now);
-  double DemandOf(const std::string& customer) const;
+  /// Keeps the fleet's demand as it is told now.
+  void RecordDemand(TimePoint now);
+  /// The fleet's demand of a customer as it was told at an earlier time.
+  double DemandAt(const std::string& customer, TimePoint time) const;
   /// The first VMs of a data centre that answer, and one that is tried again.
   std::vector<std::string> ChooseRelays(const std::string& data_centre,
                                         TimePoint now);
@@ -158,6 +162,12 @@
   std::map<std::string, Limit> limits;
   std::map<std::string, Source> nodes;
   std::map<std::string, Source> data_centres;
+  /// The fleet's demand by customer at the last rounds, oldest first.
+  struct DemandRecord {
+    TimePoint at;
+    std::map<std::string, double> demands;
+  };
+  std::deque<DemandRecord> demand_records;
   /// Counts of nodes that are forgotten.
   std::map<std::string, double> departed;
   std::map<std::string, Contact> contacts;
--- a/src/coordination/store_feed.cc
+++ b/src/coordination/store_feed.cc
@@ -32,6 +32,13 @@
                      });
 }
 
+bool StoreFeed::IsHeard(TimePoint now) const {
+  return std::any_of(this->relays.begin(), this->relays.end(),
+                     [now](const auto& entry) {
+                       return now - entry.second.heard_at <= kFeedSilence;
+                     });
+}
+
 std::uint64_t StoreFeed::LastChange(std::string_view prefix,
                                     TimePoint now) const {
   std::uint64_t highest = 0;
--- a/src/coordination/store_feed.h
+++ b/src/coordination/store_feed.h
@@ -38,6 +38,9 @@
   /// Whether a relay that reads the store was heard lately.
   bool IsFed(TimePoint now) const;
 
+  /// Whether any relay was heard lately.
+  bool IsHeard(TimePoint now) const;
+
   /// Highest revision of a change under the prefix that relays have told of
   /// lately; 0 if there is none.
   std::uint64_t LastChange(std::string_view prefix, TimePoint now) const;
--- a/src/node/store_watcher.cc
+++ b/src/node/store_watcher.cc
@@ -25,9 +25,9 @@
 constexpr std::chrono::milliseconds kFirstPause{150};
 constexpr int kMostDoublings = 3;
 constexpr std::chrono::milliseconds kSettleInterval{100};
-/// Doublings while a relay, which tries more often, is there to notice first
-/// that the store is back.
-constexpr int kMostFedDoublings = 5;
+/// The same while a relay is heard, which tries more often and tells when the
+/// store is back.
+constexpr int kMostToldDoublings = 5;
 /// Time in which changes of targets gather before they are asked for again;
 /// each answer with a change is a call, and many come together.
 constexpr std::chrono::milliseconds kGatherTime{250};
@@ -112,18 +112,28 @@
     }
     this->lost_prefixes.insert(prefix);
     this->ReportLost(this->last_reason);
-    const int doublings =
-        std::min(progress.failures_in_row++,
-                 this->is_relay ? kMostDoublings : kMostFedDoublings);
-    std::uniform_real_distribution<double> jitter(1 - kPauseJitter,
-                                                  1 + kPauseJitter);
+    co_await this->PauseAfterFailure(progress.failures_in_row++);
+  }
+}
+
+Awaitable<> StoreWatcher::PauseAfterFailure(int failures_in_row) {
+  std::uniform_real_distribution<double> jitter(1 - kPauseJitter,
+                                                1 + kPauseJitter);
+  const TimePoint started = this->clock.Now();
+  const double factor = jitter(this->random);
+  while (!this->IsFed()) {
+    // While a relay is heard, it tries more often and tells of it.
+    const bool is_told =
+        !this->is_relay && this->store_feed.IsHeard(this->clock.Now());
+    const int doublings = std::min(
+        failures_in_row, is_told ? kMostToldDoublings : kMostDoublings);
     const Duration pause = std::chrono::duration_cast<Duration>(
-        kFirstPause * (1 << doublings) * jitter(this->random));
-    const TimePoint until = this->clock.Now() + pause;
-    while (this->clock.Now() < until && !this->IsFed()) {
-      co_await this->Pause(
-          std::min<Duration>(kFeedCheckInterval, until - this->clock.Now()));
+        kFirstPause * (1 << doublings) * factor);
+    const Duration left = started + pause - this->clock.Now();
+    if (left <= Duration::zero()) {
+      co_return;
     }
+    co_await this->Pause(std::min<Duration>(kFeedCheckInterval, left));
   }
 }
 
@@ -156,7 +166,7 @@
       continue;
     }
     co_await this->Pause(kFirstPause *
-                         (1 << std::min(failures_in_row++, kMostFedDoublings)));
+                         (1 << std::min(failures_in_row++, kMostDoublings)));
   }
 }
 
--- a/src/node/store_watcher.h
+++ b/src/node/store_watcher.h
@@ -74,6 +74,8 @@
   Awaitable<> CatchUp(std::string prefix);
   bool IsFed() const;
   Awaitable<> Pause(Duration time);
+  /// Waits until the store may be asked again, or a relay reads it.
+  Awaitable<> PauseAfterFailure(int failures_in_row);
   /// Applies what is newer than what was applied; true if there was any.
   bool ApplyChanges(const std::vector<platform::StoreItem>& items,
                     std::uint64_t up_to,
