Go by a relay that stands in again without its old counts

A relay that had stood in once was gone by again with counts from then. A relay whose members have turned away is not gone by either.

--- a/src/coordination/news_relay.cc
+++ b/src/coordination/news_relay.cc
@@ -292,6 +292,8 @@
                           TrafficSum& sum) const {
   if (now - source.heard_at <= kListening) {
     AddTo(sum.load, source.load);
+  }
+  if (now - source.heard_at <= kSilence) {
     sum.members += source.members;
   }
   for (const auto& [customer, count] : source.customers) {
--- a/src/coordination/relayed_counts.cc
+++ b/src/coordination/relayed_counts.cc
@@ -1,5 +1,7 @@
 #include "coordination/relayed_counts.h"
 
+#include <algorithm>
+
 #include "state/time_text.h"
 
 namespace daisywinch {
@@ -19,8 +21,18 @@
 bool RelayedCounts::ShouldFollow(const std::string& relay,
                                  std::uint32_t members,
                                  TimePoint now) const {
+  if (relay == this->followed) {
+    // Nodes that have turned to other relays are only reckoned with by this
+    // one.
+    return std::none_of(this->relays.begin(), this->relays.end(),
+                        [&](const auto& entry) {
+                          return entry.first != relay &&
+                                 now - entry.second.heard_at <= kRelaySilence &&
+                                 members < kCompletePart * entry.second.members;
+                        });
+  }
   const auto current = this->relays.find(this->followed);
-  return relay == this->followed || current == this->relays.end() ||
+  return current == this->relays.end() ||
          now - current->second.heard_at > kRelaySilence ||
          current->second.members < kCompletePart * members;
 }
@@ -68,8 +80,10 @@
     this->paces[customer] = span > 0 ? delta / span : 0;
   }
   for (auto& [name, other] : this->relays) {
+    // One that was not heard meanwhile may have counted since what it last
+    // told.
+    other.has_base = now - other.heard_at <= kRelaySilence;
     other.base = other.latest;
-    other.has_base = true;
   }
   return true;
 }
--- a/src/coordination/traffic_sum.h
+++ b/src/coordination/traffic_sum.h
@@ -63,7 +63,7 @@
 struct TrafficSum {
   std::map<std::string, CustomerUse> customers;
   LoadSum load;
-  /// Nodes that the sum holds.
+  /// Nodes that were heard lately; the others are reckoned with.
   std::uint32_t members = 0;
 };
 
--- a/tests/coordination/news_relay_test.cc
+++ b/tests/coordination/news_relay_test.cc
@@ -356,6 +356,25 @@
   }
 }
 
+// A relay that had stood in once was gone by again with counts from then: on a
+// day with machines that were cut off and others taken away, all nodes saw each
+// customer a second of its rate in debt.
+BOOST_AUTO_TEST_CASE(a_relay_that_stands_in_again_adds_nothing) {
+  RelayWorld world(3, 6, 80, 4);
+  std::set<int> others;
+  for (int index = 2; index < 18; ++index) {
+    others.insert(index);
+  }
+  world.Run(50, milliseconds(4000));
+  for (int round = 0; round < 3; ++round) {
+    world.cut = {0, 1};
+    world.Run(50, milliseconds(4000), others);
+    world.cut.clear();
+    world.Run(50, milliseconds(9000));
+  }
+  BOOST_TEST(world.WronglyRefusedPart() <= 0.002);
+}
+
 BOOST_AUTO_TEST_CASE(relayed_sudden_demand_stays_within_the_bound) {
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     for (const double rate : {20.0, 106.0}) {
