Tell that the store's answer is overdue

Both relays of galway-b were cut off and said for 3 s, until their connections ended, that they read the store. Ruled out: probes of the connection alone (2 s at best, against a bound of 2 s).

--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -265,7 +265,13 @@
   const TimePoint now = this->clock.Now();
   this->watcher.SetRelay(!this->draining &&
                          !this->relay.Listeners(now).empty());
+  const std::optional<protocol::StoreNews> feed = this->watcher.TellFeed();
   const bool is_time = now - this->relayed_at >= kNewsInterval;
+  const bool has_turned = feed && feed->is_reachable() != this->told_reachable;
+  if (feed && (is_time || has_turned)) {
+    this->told_reachable = feed->is_reachable();
+    this->SendFeed(*feed);
+  }
   const bool may_be_urgent = now - this->relayed_at >= kUrgentInterval;
   if (this->draining || !may_be_urgent) {
     return;
@@ -275,10 +281,6 @@
     return;
   }
   this->relayed_at = now;
-  if (const std::optional<protocol::StoreNews> feed =
-          this->watcher.TellFeed()) {
-    this->SendFeed(*feed);
-  }
   if (is_time || urgency.data_centres) {
     const std::vector<std::string> remote = this->relay.RemoteRelays(now);
     const TrafficSum sum =
--- a/src/node/mesh_node.h
+++ b/src/node/mesh_node.h
@@ -78,6 +78,8 @@
   DatagramSocket news_socket;
   NewsRelay relay;
   TimePoint relayed_at;
+  /// What was last told of the store's being reachable.
+  bool told_reachable = false;
   std::uint64_t news_sequence = 0;
   /// When this node last told its news; for the traffic thread.
   TimePoint told_at;
--- a/src/node/store_watcher.cc
+++ b/src/node/store_watcher.cc
@@ -17,8 +17,13 @@
 using platform::StoreItem;
 using platform::StorePage;
 
-/// Longest time that one call waits for a change.
-constexpr std::chrono::milliseconds kWatchWait{8000};
+/// Longest time that one call waits for a change of a target.
+constexpr std::chrono::milliseconds kTargetWatchWait{8000};
+/// The same for what operators write. An answer that is overdue shows that the
+/// store is cut off or silent, to this node or to the relay that feeds it, long
+/// before the connection ends; operators want changes in force in two seconds.
+constexpr std::chrono::milliseconds kOperatorWatchWait{1000};
+constexpr std::chrono::milliseconds kOverdue{400};
 /// Longest time beyond it for the answer itself.
 constexpr std::chrono::milliseconds kAnswerTime{1500};
 /// Pause after the first call that failed; doubles with each further one.
@@ -97,7 +102,12 @@
       co_await this->Pause(kFeedCheckInterval);
       continue;
     } else {
-      is_answered = co_await this->Watch(prefix, progress, kWatchWait);
+      const bool is_operators = prefix == platform::kOperatorPrefix;
+      const Duration wait =
+          is_operators ? kOperatorWatchWait : kTargetWatchWait;
+      progress.due_at = this->clock.Now() + wait + kOverdue;
+      is_answered = co_await this->Watch(prefix, progress, wait);
+      progress.due_at.reset();
     }
     if (is_answered) {
       progress.failures_in_row = 0;
@@ -299,15 +309,17 @@
     return std::nullopt;
   }
   protocol::StoreNews news;
-  bool is_listed = true;
+  bool is_followed = true;
   for (const auto& [prefix, progress] : this->progress_by_prefix) {
-    is_listed = is_listed && progress.revision != 0;
+    const bool is_overdue =
+        progress.due_at && this->clock.Now() > *progress.due_at;
+    is_followed = is_followed && progress.revision != 0 && !is_overdue;
     protocol::PrefixNews* row = news.add_prefixes();
     row->set_prefix(prefix);
     row->set_last_change(progress.last_change);
     row->set_up_to(progress.revision);
   }
-  news.set_is_reachable(is_listed && this->lost_prefixes.empty());
+  news.set_is_reachable(is_followed && this->lost_prefixes.empty());
   news.set_outages(this->outages);
   return news;
 }
--- a/src/node/store_watcher.h
+++ b/src/node/store_watcher.h
@@ -65,6 +65,8 @@
     /// Revision of the last change that is known.
     std::uint64_t last_change = 0;
     int failures_in_row = 0;
+    /// When the call that waits at the store has to be answered.
+    std::optional<TimePoint> due_at;
   };
 
   Awaitable<> Follow(std::string prefix);
