--- a/src/node/mesh_entry.cc
+++ b/src/node/mesh_entry.cc
@@ -39,6 +39,10 @@
 constexpr std::chrono::milliseconds kReportInterval{400};
 constexpr std::chrono::seconds kOverRateInterval{1};
 
+/// Growth of the roots asked for, as a factor and in requests per second beyond
+/// it, that is told at once; about three times the spread of steady traffic.
+constexpr double kUrgentGrowth = 1.3;
+constexpr double kUrgentRate = 4;
 /// Name under which the traffic of all other nodes is kept.
 constexpr char kOthers[] = "others";
 /// Their counts go on as long as this process runs.
@@ -332,9 +336,25 @@
   this->fleet_heard_at = now;
 }
 
+double MeshEntry::RootRate(TimePoint now) const {
+  double sum = 0;
+  for (const auto& [kind, rate] : this->root_rates) {
+    sum += rate.PerSecond(now);
+  }
+  return sum;
+}
+
+bool MeshEntry::HasUrgentNews() const {
+  const TimePoint now = this->clock.Now();
+  return this->ledger.IsFarAhead(now) ||
+         this->RootRate(now) >
+             kUrgentGrowth * this->told_root_rate + kUrgentRate;
+}
+
 TrafficNews MeshEntry::TellNews(NodeLoad load) {
   constexpr double kLeastRate = 0.05;
   const TimePoint now = this->clock.Now();
+  this->told_root_rate = this->RootRate(now);
   for (const auto& [kind, rate] : this->root_rates) {
     if (rate.PerSecond(now) >= kLeastRate) {
       load.roots[kind] = rate.PerSecond(now);
--- a/src/node/mesh_entry.h
+++ b/src/node/mesh_entry.h
@@ -51,9 +51,7 @@
   /// Takes the traffic of all other nodes; counts go on from the last.
   void TakeNews(TrafficSum news);
   /// Whether the other nodes should hear from this one at once.
-  bool HasUrgentNews() const {
-    return this->ledger.IsFarAhead(this->clock.Now());
-  }
+  bool HasUrgentNews() const;
   /// Completes what this node tells: `load` holds what its gate sees.
   TrafficNews TellNews(NodeLoad load);
 
@@ -92,6 +90,8 @@
                     int targets_reached);
   /// Admits the part of the roots of its kind that fits; see FleetLoad.
   bool TakeRoot(const Call& call);
+  /// Roots that callers ask for, of all kinds, in requests per second.
+  double RootRate(TimePoint now) const;
   void ReportOverRate(const Call& call);
   /// Logs admitted parts that have changed.
   void ReportAdmission(TimePoint now);
@@ -122,6 +122,8 @@
   TimePoint fleet_heard_at;
   /// Roots that callers asked for, by kind.
   std::map<RootKind, DecayedRate> root_rates;
+  /// Their sum when it was told last.
+  double told_root_rate = 0;
   std::map<RootKind, double> admitted_parts;
   /// Admission owed to each kind; a root is admitted when it reaches 1.
   std::map<RootKind, double> root_credits;
--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -23,6 +23,9 @@
 /// one.
 constexpr std::chrono::milliseconds kNewsInterval{500};
 constexpr std::chrono::milliseconds kNewsCheckInterval{100};
+/// Growth of the part of inner calls that the gate refuses that is told at
+/// once.
+constexpr double kUrgentRefusedPart = 0.05;
 /// Least time between two rounds of a relay when something is urgent.
 constexpr std::chrono::milliseconds kUrgentInterval{200};
 constexpr std::chrono::milliseconds kDrainCheckInterval{20};
@@ -227,13 +230,17 @@
 
 void MeshNode::CollectOwnNews() {
   const TimePoint now = this->clock.Now();
-  if (now - this->told_at < kNewsInterval && !this->entry.HasUrgentNews()) {
-    return;
-  }
-  this->told_at = now;
   NodeLoad load;
   load.slots = this->gate.Slots();
   load.refused_part = this->gate.RefusedPart();
+  const bool is_urgent =
+      this->entry.HasUrgentNews() ||
+      load.refused_part > this->told_refused_part + kUrgentRefusedPart;
+  if (now - this->told_at < kNewsInterval && !is_urgent) {
+    return;
+  }
+  this->told_at = now;
+  this->told_refused_part = load.refused_part;
   protocol::NodeNews news;
   EncodeTrafficNews(this->entry.TellNews(std::move(load)), news);
   asio::post(this->control_context, [this, news = std::move(news)]() mutable {
--- a/src/node/mesh_node.h
+++ b/src/node/mesh_node.h
@@ -83,6 +83,7 @@
   std::uint64_t news_sequence = 0;
   /// When this node last told its news; for the traffic thread.
   TimePoint told_at;
+  double told_refused_part = 0;
   asio::signal_set signals;
   std::atomic<bool> draining = false;
 };
