Await lapsed entries only after outages that can make entries lapse

A relay that had lost the store long before was heard anew, and all that it feeds kept a removed target for 2 s.

--- a/src/coordination/mesh_directory.cc
+++ b/src/coordination/mesh_directory.cc
@@ -1,5 +1,6 @@
 #include "coordination/mesh_directory.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace daisywinch {
@@ -10,6 +11,10 @@
 /// away come back; stated by the platform as about two seconds.
 constexpr std::chrono::milliseconds kLapseTime{2000};
 
+/// Outages that are shorter make no entry lapse: that takes three heartbeats of
+/// at least a second, and a relay hears of the store once a second.
+constexpr std::chrono::milliseconds kLeastOutage{2000};
+
 }  // namespace
 
 bool MeshDirectory::TakeConfiguration(
@@ -68,15 +73,29 @@
   this->evacuated = data_centres;
 }
 
-bool MeshDirectory::StoreBack(TimePoint now) {
+bool MeshDirectory::StoreBack(Duration away, TimePoint now) {
   if (!this->is_store_lost) {
     return false;
   }
   this->is_store_lost = false;
-  this->lapse_until = now + kLapseTime;
+  if (away >= kLeastOutage) {
+    this->AwaitLapsed(now + kLapseTime);
+  } else if (this->LapseLeft(now) == Duration::zero()) {
+    for (auto& [id, until] : this->vanished) {
+      until = now;
+    }
+  }
   return true;
 }
 
+void MeshDirectory::AwaitLapsed(TimePoint until) {
+  this->lapse_until = std::max(until, this->lapse_until.value_or(until));
+}
+
+Duration MeshDirectory::LapseLeft(TimePoint now) const {
+  return std::max(Duration::zero(), this->lapse_until.value_or(now) - now);
+}
+
 bool MeshDirectory::Settle(TimePoint now) {
   bool has_removed = false;
   for (auto entry = this->vanished.begin(); entry != this->vanished.end();) {
--- a/src/coordination/mesh_directory.h
+++ b/src/coordination/mesh_directory.h
@@ -37,8 +37,13 @@
 
   /// The store does not answer this node.
   void StoreLost() { this->is_store_lost = true; }
-  /// The store has answered; true if it had been lost.
-  bool StoreBack(TimePoint now);
+  /// The store has answered again, after a time without an answer; true if it
+  /// had been lost.
+  bool StoreBack(Duration away, TimePoint now);
+  /// Entries may return until then, as another node has seen an outage.
+  void AwaitLapsed(TimePoint until);
+  /// How long lapsed entries may still return.
+  Duration LapseLeft(TimePoint now) const;
 
   /// Removes the targets whose time is over; true if there were any.
   bool Settle(TimePoint now);
--- a/src/coordination/store_feed.cc
+++ b/src/coordination/store_feed.cc
@@ -11,17 +11,13 @@
 
 }  // namespace
 
-bool StoreFeed::Take(const std::string& relay,
+void StoreFeed::Take(const std::string& relay,
                      const FeedState& state,
                      TimePoint now) {
   std::erase_if(this->relays, [now](const auto& entry) {
     return now - entry.second.heard_at > std::chrono::minutes(1);
   });
-  Relay& known = this->relays[relay];
-  const bool is_same = known.state.incarnation == state.incarnation;
-  const bool has_lost_store = is_same && state.outages > known.state.outages;
-  known = {state, now};
-  return has_lost_store;
+  this->relays[relay] = {state, now};
 }
 
 bool StoreFeed::IsFed(TimePoint now) const {
--- a/src/coordination/store_feed.h
+++ b/src/coordination/store_feed.h
@@ -12,12 +12,8 @@
 
 /// What a relay tells of its own reading of the platform's store.
 struct FeedState {
-  /// Names one run of the relay.
-  std::uint64_t incarnation = 0;
   /// The store answers the relay.
   bool is_reachable = false;
-  /// How often the relay has lost the store.
-  std::uint64_t outages = 0;
   /// Revision of the last change that the relay knows, by prefix.
   std::map<std::string, std::uint64_t, std::less<>> last_changes;
 };
@@ -31,9 +27,8 @@
 /// Runs on the control thread.
 class StoreFeed {
  public:
-  /// Takes what a relay tells; true if the relay has lost the store since its
-  /// last news, so that entries may have lapsed.
-  bool Take(const std::string& relay, const FeedState& state, TimePoint now);
+  /// Takes what a relay tells.
+  void Take(const std::string& relay, const FeedState& state, TimePoint now);
 
   /// Whether a relay that reads the store was heard lately.
   bool IsFed(TimePoint now) const;
--- a/src/node/store_watcher.cc
+++ b/src/node/store_watcher.cc
@@ -43,6 +43,8 @@
 constexpr std::chrono::milliseconds kMostCatchUpDelay{200};
 /// Time that a call for missing changes waits for any.
 constexpr std::chrono::milliseconds kCatchUpWait{100};
+/// Longest time for lapsed entries to return that is believed of a relay.
+constexpr std::chrono::milliseconds kMostLapseTime{3000};
 /// Largest changes in bytes that are passed on in a datagram.
 constexpr std::size_t kMostFedBytes = std::size_t{32} * 1024;
 constexpr double kPauseJitter = 0.5;
@@ -209,6 +211,7 @@
       break;
     }
   }
+  this->heard_at = this->clock.Now();
   // First, as the missing entries may have lapsed meanwhile.
   this->ReportBack();
   for (const StoreItem& item : items) {
@@ -244,6 +247,7 @@
   if (!page) {
     co_return false;
   }
+  this->heard_at = this->clock.Now();
   if (this->lost_prefixes.erase(prefix) > 0 && this->lost_prefixes.empty()) {
     this->ReportBack();
   }
@@ -320,25 +324,31 @@
     row->set_up_to(progress.revision);
   }
   news.set_is_reachable(is_followed && this->lost_prefixes.empty());
-  news.set_outages(this->outages);
+  news.set_lapse_left_ms(std::chrono::ceil<std::chrono::milliseconds>(
+                             this->directory.LapseLeft(this->clock.Now()))
+                             .count());
   return news;
 }
 
 void StoreWatcher::TakeFeed(const protocol::StoreNews& news) {
+  const TimePoint now = this->clock.Now();
   FeedState state;
-  state.incarnation = news.incarnation();
   state.is_reachable = news.is_reachable();
-  state.outages = news.outages();
   for (const protocol::PrefixNews& row : news.prefixes()) {
     state.last_changes[row.prefix()] = row.last_change();
   }
-  if (this->store_feed.Take(news.relay(), state, this->clock.Now())) {
+  this->store_feed.Take(news.relay(), state, now);
+  if (news.lapse_left_ms() > 0) {
     // Entries may have lapsed, although this node did not see the outage.
-    this->directory.StoreLost();
+    this->directory.AwaitLapsed(
+        now +
+        std::min<Duration>(std::chrono::milliseconds(news.lapse_left_ms()),
+                           kMostLapseTime));
   }
   if (this->IsFed()) {
     this->lost_prefixes.clear();
     this->ReportBack();
+    this->heard_at = now;
   }
   bool has_applied = false;
   for (const protocol::PrefixNews& row : news.prefixes()) {
@@ -468,15 +478,17 @@
 void StoreWatcher::ReportLost(const std::string& reason) {
   if (this->lost_prefixes.size() == 1) {
     LogEvent(EventId::kPlatformUnreachable, {{"reason", reason}});
-    ++this->outages;
   }
+  this->lost_since = this->lost_since.value_or(this->heard_at);
   this->directory.StoreLost();
 }
 
 void StoreWatcher::ReportBack() {
-  if (this->directory.StoreBack(this->clock.Now())) {
+  const TimePoint now = this->clock.Now();
+  if (this->directory.StoreBack(now - this->lost_since.value_or(now), now)) {
     LogEvent(EventId::kPlatformReachable, {});
   }
+  this->lost_since.reset();
 }
 
 Awaitable<> StoreWatcher::SettleDirectory() {
--- a/src/node/store_watcher.h
+++ b/src/node/store_watcher.h
@@ -111,7 +111,10 @@
   StoreFeed store_feed;
   std::function<void(const protocol::StoreNews&)> feed;
   bool is_relay = false;
-  std::uint64_t outages = 0;
+  /// When the store, or a relay that reads it, was last heard.
+  TimePoint heard_at;
+  /// When it was last heard before it was lost.
+  std::optional<TimePoint> lost_since;
   std::uint64_t call_count = 0;
   std::string last_reason;
 };
--- a/tests/coordination/fleet_load_test.cc
+++ b/tests/coordination/fleet_load_test.cc
@@ -314,7 +314,7 @@
     directory.TakeTarget(target);
   }
   directory.StoreLost();
-  BOOST_TEST(directory.StoreBack(kStart));
+  BOOST_TEST(directory.StoreBack(std::chrono::seconds(5), kStart));
   directory.KeepOnlyTargets({}, kStart + milliseconds(10));
   BOOST_TEST(directory.MakeView()->Targets().size() == 2);
   target.id = "t-1";
@@ -325,6 +325,37 @@
   BOOST_TEST(directory.MakeView()->Targets().contains("t-1"));
 }
 
+// A relay that had lost the store for a moment kept a target that left 2 s in
+// use, at all nodes that it fed.
+BOOST_AUTO_TEST_CASE(a_short_outage_lets_nothing_lapse) {
+  MeshDirectory directory;
+  MeshTarget target;
+  for (const char* id : {"t-1", "t-2"}) {
+    target.id = id;
+    directory.TakeTarget(target);
+  }
+  directory.StoreLost();
+  directory.RemoveTarget("t-1", kStart);
+  BOOST_TEST(directory.StoreBack(milliseconds(300), kStart + milliseconds(10)));
+  BOOST_TEST(directory.Settle(kStart + milliseconds(10)));
+  directory.RemoveTarget("t-2", kStart + milliseconds(20));
+  BOOST_TEST(directory.MakeView()->Targets().empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_outage_that_another_node_saw_counts) {
+  MeshDirectory directory;
+  MeshTarget target;
+  target.id = "t-1";
+  directory.TakeTarget(target);
+  directory.AwaitLapsed(kStart + milliseconds(1500));
+  BOOST_TEST((directory.LapseLeft(kStart) == milliseconds(1500)));
+  directory.RemoveTarget("t-1", kStart);
+  BOOST_TEST(directory.MakeView()->Targets().size() == 1);
+  BOOST_TEST(!directory.Settle(kStart + milliseconds(1400)));
+  BOOST_TEST(directory.Settle(kStart + milliseconds(1500)));
+  BOOST_TEST(directory.MakeView()->Targets().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace daisywinch
