--- a/src/node/gate.cc
+++ b/src/node/gate.cc
@@ -5,6 +5,7 @@
 
 #include "node/target_messages.h"
 #include "state/event_log.h"
+#include "state/time_text.h"
 #include "transport/call_client.h"
 
 namespace daisywinch {
@@ -18,11 +19,6 @@
 constexpr std::size_t kQueuePerSlot = 2;
 constexpr double kOpenRouteWeight = 1;
 
-std::uint64_t ToMicroseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::microseconds>(duration)
-      .count();
-}
-
 std::vector<std::string> TargetNames(const Snapshot& snapshot,
                                      const std::string& service) {
   std::vector<std::string> names;
--- a/src/node/mesh_entry.cc
+++ b/src/node/mesh_entry.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "state/event_log.h"
+#include "state/time_text.h"
 #include "transport/call_client.h"
 
 namespace daisywinch {
@@ -55,12 +56,6 @@
       std::min<std::uint32_t>(priority, kRequestClassCount - 1));
 }
 
-std::uint64_t ToMicroseconds(Duration duration) {
-  return std::max<std::int64_t>(
-      0,
-      std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
-}
-
 Duration ObjectiveOf(const MeshRoute& route) {
   return route.objective > Duration::zero() ? route.objective
                                             : kUnknownObjective;
--- a/src/node/mesh_gate.cc
+++ b/src/node/mesh_gate.cc
@@ -9,6 +9,7 @@
 
 #include "platform/attempt_messages.h"
 #include "state/event_log.h"
+#include "state/time_text.h"
 #include "transport/call_client.h"
 
 namespace daisywinch {
@@ -36,12 +37,6 @@
 
 constexpr Duration kInitialWork = std::chrono::milliseconds(50);
 
-std::uint64_t ToMicroseconds(Duration duration) {
-  return std::max<std::int64_t>(
-      0,
-      std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
-}
-
 }  // namespace
 
 MeshGate::MeshGate(asio::io_context& context,
--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -19,15 +19,11 @@
 /// Largest body and what goes with it in a frame.
 constexpr std::size_t kFrameLimit = std::size_t{65} * 1024 * 1024;
 constexpr std::uint64_t kBodyLimit = std::uint64_t{64} * 1024 * 1024;
-/// Time between two news without a special reason, and between two looks for
-/// one.
-constexpr std::chrono::milliseconds kNewsInterval{500};
+/// Time between two looks for news that are due or urgent.
 constexpr std::chrono::milliseconds kNewsCheckInterval{100};
 /// Growth of the part of inner calls that the gate refuses that is told at
 /// once.
 constexpr double kUrgentRefusedPart = 0.05;
-/// Least time between two rounds of a relay when something is urgent.
-constexpr std::chrono::milliseconds kUrgentInterval{200};
 constexpr std::chrono::milliseconds kDrainCheckInterval{20};
 /// Time after the signal to stop in which callers may still send requests:
 /// the platform notices after two misses of one check a second.
@@ -113,19 +109,24 @@
           [this](HttpRequest request, std::shared_ptr<Cancellation>) {
             return this->AnswerOperator(std::move(request));
           }),
-      news_socket(this->control_context,
-                  [this](const std::string& ip, std::string_view content) {
-                    this->TakeDatagram(ip, content);
-                  }),
-      relay(settings.ip, settings.data_centre),
+      exchange(this->control_context,
+               this->clock,
+               this->settings,
+               this->incarnation,
+               this->views,
+               this->watcher,
+               [this](TrafficSum sum) {
+                 asio::post(this->traffic_context,
+                            [this, sum = std::move(sum)]() mutable {
+                              this->entry.TakeNews(std::move(sum));
+                            });
+               }),
       signals(this->control_context, SIGTERM, SIGINT) {}
 
 int MeshNode::Run() {
   if (!this->Listen()) {
     return EXIT_FAILURE;
   }
-  this->watcher.SetFeeder(
-      [this](const protocol::StoreNews& news) { this->SendFeed(news); });
   this->watcher.Start();
   this->gate.Start();
   asio::co_spawn(this->control_context, this->ShutDownOnSignal(),
@@ -157,17 +158,14 @@
                 this->ready_server.Listen(own.ready_address)) &&
          report(own.operator_address,
                 this->operator_server.Listen(own.operator_address)) &&
-         report(own.news_address, this->news_socket.Listen(own.news_address));
+         report(own.news_address, this->exchange.Listen());
 }
 
 void MeshNode::PublishView() {
   const bool was_ready = this->IsReady();
   const std::shared_ptr<const MeshView> view = this->directory.MakeView();
   this->views.Publish(view);
-  this->relay.SetNodes(view->VmsByDataCentre());
-  if (view->Configuration() != nullptr) {
-    this->relay.SetConfiguration(*view->Configuration());
-  }
+  this->exchange.TakeView(*view);
   if (!was_ready && this->IsReady()) {
     LogEvent(EventId::kNodeReady, {{"vm", this->settings.vm}});
   }
@@ -224,7 +222,7 @@
     ErrorCode ignored;
     co_await timer.async_wait(Await(ignored));
     asio::post(this->traffic_context, [this] { this->CollectOwnNews(); });
-    this->RelayNews();
+    this->exchange.RelayNews(this->draining);
   }
 }
 
@@ -244,138 +242,9 @@
   protocol::NodeNews news;
   EncodeTrafficNews(this->entry.TellNews(std::move(load)), news);
   asio::post(this->control_context, [this, news = std::move(news)]() mutable {
-    this->SendOwnNews(std::move(news));
-  });
-}
-
-void MeshNode::SendOwnNews(protocol::NodeNews news) {
-  news.set_node(this->settings.ip);
-  news.set_incarnation(this->incarnation);
-  news.set_sequence(++this->news_sequence);
-  news.set_configuration_version(this->directory.ConfigurationVersion());
-  news.set_store_revision(this->watcher.Revision());
-  news.set_draining(this->draining);
-  const TimePoint now = this->clock.Now();
-  protocol::Datagram datagram;
-  *datagram.mutable_node() = std::move(news);
-  for (const std::string& ip : this->relay.OwnRelays(now)) {
-    if (ip == this->settings.ip) {
-      this->relay.TakeNode(ip, this->incarnation,
-                           DecodeTrafficNews(datagram.node()), now);
-    } else {
-      this->Send(ip, datagram);
-    }
-  }
-}
-
-void MeshNode::RelayNews() {
-  const TimePoint now = this->clock.Now();
-  this->watcher.SetRelay(!this->draining &&
-                         !this->relay.Listeners(now).empty());
-  const std::optional<protocol::StoreNews> feed = this->watcher.TellFeed();
-  const bool is_time = now - this->relayed_at >= kNewsInterval;
-  const bool has_turned = feed && feed->is_reachable() != this->told_reachable;
-  if (feed && (is_time || has_turned)) {
-    this->told_reachable = feed->is_reachable();
-    this->SendFeed(*feed);
-  }
-  const bool may_be_urgent = now - this->relayed_at >= kUrgentInterval;
-  if (this->draining || !may_be_urgent) {
-    return;
-  }
-  const NewsRelay::Urgency urgency = this->relay.TakeUrgency();
-  if (!is_time && !urgency.listeners && !urgency.data_centres) {
-    return;
-  }
-  this->relayed_at = now;
-  if (is_time || urgency.data_centres) {
-    const std::vector<std::string> remote = this->relay.RemoteRelays(now);
-    const TrafficSum sum =
-        remote.empty() ? TrafficSum() : this->relay.OwnDataCentre(now);
-    for (const std::string& ip : remote) {
-      this->SendSum(ip, this->settings.data_centre, sum);
-    }
-  }
-  const std::vector<std::string> listeners = this->relay.Listeners(now);
-  const FleetSum fleet =
-      listeners.empty() ? FleetSum() : this->relay.Fleet(now);
-  for (const std::string& ip : listeners) {
-    TrafficSum rest = this->relay.RestFor(ip, fleet);
-    if (ip == this->settings.ip) {
-      this->TakeRest(ip, this->incarnation, std::move(rest));
-    } else {
-      this->SendSum(ip, "", rest);
-    }
-  }
-}
-
-void MeshNode::SendFeed(const protocol::StoreNews& news) {
-  protocol::Datagram datagram;
-  *datagram.mutable_store() = news;
-  datagram.mutable_store()->set_relay(this->settings.ip);
-  datagram.mutable_store()->set_incarnation(this->incarnation);
-  for (const std::string& ip : this->relay.Listeners(this->clock.Now())) {
-    if (ip != this->settings.ip) {
-      this->Send(ip, datagram);
-    }
-  }
-}
-
-void MeshNode::SendSum(const std::string& ip,
-                       const std::string& data_centre,
-                       const TrafficSum& sum) {
-  protocol::Datagram datagram;
-  protocol::SumNews& news = *datagram.mutable_sum();
-  EncodeTrafficSum(sum, news);
-  news.set_relay(this->settings.ip);
-  news.set_incarnation(this->incarnation);
-  news.set_sequence(++this->news_sequence);
-  news.set_data_centre(data_centre);
-  this->Send(ip, datagram);
-}
-
-void MeshNode::Send(const std::string& ip, const protocol::Datagram& datagram) {
-  this->news_socket.Send({ip, this->settings.news_address.port},
-                         datagram.SerializeAsString());
-}
-
-void MeshNode::TakeDatagram(const std::string& ip, std::string_view content) {
-  protocol::Datagram datagram;
-  const std::shared_ptr<const MeshView> view = this->views.Load();
-  const bool is_listed = view != nullptr && view->VmAddresses().contains(ip);
-  if (!is_listed || !datagram.ParseFromArray(
-                        content.data(), static_cast<int>(content.size()))) {
-    return;
-  }
-  if (datagram.has_node() && datagram.node().node() == ip) {
-    this->relay.TakeNode(ip, datagram.node().incarnation(),
-                         DecodeTrafficNews(datagram.node()), this->clock.Now());
-  } else if (datagram.has_sum() && datagram.sum().relay() == ip) {
-    this->TakeSum(ip, datagram.sum());
-  } else if (datagram.has_store() && datagram.store().relay() == ip) {
-    this->watcher.TakeFeed(datagram.store());
-  }
-}
-
-void MeshNode::TakeSum(const std::string& ip, const protocol::SumNews& news) {
-  TrafficSum sum = DecodeTrafficSum(news);
-  if (news.data_centre().empty()) {
-    this->TakeRest(ip, news.incarnation(), std::move(sum));
-  } else {
-    this->relay.TakeDataCentre(news.data_centre(), ip, news.incarnation(),
-                               std::move(sum), this->clock.Now());
-  }
-}
-
-void MeshNode::TakeRest(const std::string& relay_ip,
-                        std::uint64_t relay_incarnation,
-                        TrafficSum sum) {
-  if (!this->relay.TakeRest(relay_ip, relay_incarnation, sum,
-                            this->clock.Now())) {
-    return;
-  }
-  asio::post(this->traffic_context, [this, sum = std::move(sum)]() mutable {
-    this->entry.TakeNews(std::move(sum));
+    news.set_configuration_version(this->directory.ConfigurationVersion());
+    news.set_draining(this->draining);
+    this->exchange.TellOwn(std::move(news));
   });
 }
 
--- a/src/node/mesh_node.h
+++ b/src/node/mesh_node.h
@@ -4,21 +4,18 @@
 #include <atomic>
 #include <cstdint>
 #include <string>
-#include <string_view>
 
 #include <boost/asio/signal_set.hpp>
 
 #include "coordination/mesh_directory.h"
-#include "coordination/news_relay.h"
 #include "node/gate_router.h"
 #include "node/mesh_entry.h"
 #include "node/mesh_gate.h"
+#include "node/news_exchange.h"
 #include "node/store_watcher.h"
-#include "protocol/news_codec.h"
 #include "state/mesh_settings.h"
 #include "state/mesh_view.h"
 #include "transport/call_server.h"
-#include "transport/datagram_socket.h"
 #include "transport/http_server.h"
 
 namespace daisywinch {
@@ -42,19 +39,6 @@
   Awaitable<> SpreadNews();
   /// Collects what this node tells, on the traffic thread.
   void CollectOwnNews();
-  void SendOwnNews(protocol::NodeNews news);
-  void RelayNews();
-  void TakeDatagram(const std::string& ip, std::string_view content);
-  void TakeSum(const std::string& ip, const protocol::SumNews& news);
-  void SendSum(const std::string& ip,
-               const std::string& data_centre,
-               const TrafficSum& sum);
-  void TakeRest(const std::string& relay,
-                std::uint64_t relay_incarnation,
-                TrafficSum sum);
-  /// Tells the nodes that this one relays for what it reads of the store.
-  void SendFeed(const protocol::StoreNews& news);
-  void Send(const std::string& ip, const protocol::Datagram& datagram);
   Awaitable<HttpResponse> AnswerReady();
   Awaitable<HttpResponse> AnswerOperator(HttpRequest request);
   bool IsReady() const;
@@ -75,12 +59,7 @@
   CallServer call_server;
   HttpServer ready_server;
   HttpServer operator_server;
-  DatagramSocket news_socket;
-  NewsRelay relay;
-  TimePoint relayed_at;
-  /// What was last told of the store's being reachable.
-  bool told_reachable = false;
-  std::uint64_t news_sequence = 0;
+  NewsExchange exchange;
   /// When this node last told its news; for the traffic thread.
   TimePoint told_at;
   double told_refused_part = 0;
--- /dev/null
+++ b/src/node/news_exchange.cc
@@ -0,0 +1,175 @@
+#include "node/news_exchange.h"
+
+#include <memory>
+#include <utility>
+#include <vector>
+
+namespace daisywinch {
+
+namespace {
+
+/// Least time between two rounds of a relay when something is urgent.
+constexpr std::chrono::milliseconds kUrgentInterval{200};
+
+}  // namespace
+
+NewsExchange::NewsExchange(asio::io_context& context,
+                           const Clock& clock,
+                           const MeshSettings& settings,
+                           std::uint64_t incarnation,
+                           const MeshViewHolder& views,
+                           StoreWatcher& watcher,
+                           Receiver deliver)
+    : clock(clock),
+      ip(settings.ip),
+      data_centre(settings.data_centre),
+      address(settings.news_address),
+      incarnation(incarnation),
+      views(views),
+      watcher(watcher),
+      deliver(std::move(deliver)),
+      socket(context,
+             [this](const std::string& ip, std::string_view content) {
+               this->TakeDatagram(ip, content);
+             }),
+      relay(settings.ip, settings.data_centre) {
+  watcher.SetFeeder(
+      [this](const protocol::StoreNews& news) { this->SendFeed(news); });
+}
+
+void NewsExchange::TakeView(const MeshView& view) {
+  this->relay.SetNodes(view.VmsByDataCentre());
+  if (view.Configuration() != nullptr) {
+    this->relay.SetConfiguration(*view.Configuration());
+  }
+}
+
+void NewsExchange::TellOwn(protocol::NodeNews news) {
+  news.set_node(this->ip);
+  news.set_incarnation(this->incarnation);
+  news.set_sequence(++this->sequence);
+  news.set_store_revision(this->watcher.Revision());
+  const TimePoint now = this->clock.Now();
+  protocol::Datagram datagram;
+  *datagram.mutable_node() = std::move(news);
+  for (const std::string& ip : this->relay.OwnRelays(now)) {
+    if (ip == this->ip) {
+      this->relay.TakeNode(ip, this->incarnation,
+                           DecodeTrafficNews(datagram.node()), now);
+    } else {
+      this->Send(ip, datagram);
+    }
+  }
+}
+
+void NewsExchange::RelayNews(bool is_draining) {
+  const TimePoint now = this->clock.Now();
+  this->watcher.SetRelay(!is_draining && !this->relay.Listeners(now).empty());
+  const std::optional<protocol::StoreNews> feed = this->watcher.TellFeed();
+  const bool is_time = now - this->relayed_at >= kNewsInterval;
+  const bool has_turned = feed && feed->is_reachable() != this->told_reachable;
+  if (feed && (is_time || has_turned)) {
+    this->told_reachable = feed->is_reachable();
+    this->SendFeed(*feed);
+  }
+  const bool may_be_urgent = now - this->relayed_at >= kUrgentInterval;
+  if (is_draining || !may_be_urgent) {
+    return;
+  }
+  const NewsRelay::Urgency urgency = this->relay.TakeUrgency();
+  if (!is_time && !urgency.listeners && !urgency.data_centres) {
+    return;
+  }
+  this->relayed_at = now;
+  if (is_time || urgency.data_centres) {
+    const std::vector<std::string> remote = this->relay.RemoteRelays(now);
+    const TrafficSum sum =
+        remote.empty() ? TrafficSum() : this->relay.OwnDataCentre(now);
+    for (const std::string& ip : remote) {
+      this->SendSum(ip, this->data_centre, sum);
+    }
+  }
+  const std::vector<std::string> listeners = this->relay.Listeners(now);
+  const FleetSum fleet =
+      listeners.empty() ? FleetSum() : this->relay.Fleet(now);
+  for (const std::string& ip : listeners) {
+    TrafficSum rest = this->relay.RestFor(ip, fleet);
+    if (ip == this->ip) {
+      this->TakeRest(ip, this->incarnation, std::move(rest));
+    } else {
+      this->SendSum(ip, "", rest);
+    }
+  }
+}
+
+void NewsExchange::SendFeed(const protocol::StoreNews& news) {
+  protocol::Datagram datagram;
+  *datagram.mutable_store() = news;
+  datagram.mutable_store()->set_relay(this->ip);
+  datagram.mutable_store()->set_incarnation(this->incarnation);
+  for (const std::string& ip : this->relay.Listeners(this->clock.Now())) {
+    if (ip != this->ip) {
+      this->Send(ip, datagram);
+    }
+  }
+}
+
+void NewsExchange::SendSum(const std::string& ip,
+                           const std::string& data_centre,
+                           const TrafficSum& sum) {
+  protocol::Datagram datagram;
+  protocol::SumNews& news = *datagram.mutable_sum();
+  EncodeTrafficSum(sum, news);
+  news.set_relay(this->ip);
+  news.set_incarnation(this->incarnation);
+  news.set_sequence(++this->sequence);
+  news.set_data_centre(data_centre);
+  this->Send(ip, datagram);
+}
+
+void NewsExchange::Send(const std::string& ip,
+                        const protocol::Datagram& datagram) {
+  this->socket.Send({ip, this->address.port}, datagram.SerializeAsString());
+}
+
+void NewsExchange::TakeDatagram(const std::string& ip,
+                                std::string_view content) {
+  protocol::Datagram datagram;
+  const std::shared_ptr<const MeshView> view = this->views.Load();
+  const bool is_listed = view != nullptr && view->VmAddresses().contains(ip);
+  if (!is_listed || !datagram.ParseFromArray(
+                        content.data(), static_cast<int>(content.size()))) {
+    return;
+  }
+  if (datagram.has_node() && datagram.node().node() == ip) {
+    this->relay.TakeNode(ip, datagram.node().incarnation(),
+                         DecodeTrafficNews(datagram.node()), this->clock.Now());
+  } else if (datagram.has_sum() && datagram.sum().relay() == ip) {
+    this->TakeSum(ip, datagram.sum());
+  } else if (datagram.has_store() && datagram.store().relay() == ip) {
+    this->watcher.TakeFeed(datagram.store());
+  }
+}
+
+void NewsExchange::TakeSum(const std::string& ip,
+                           const protocol::SumNews& news) {
+  TrafficSum sum = DecodeTrafficSum(news);
+  if (news.data_centre().empty()) {
+    this->TakeRest(ip, news.incarnation(), std::move(sum));
+  } else {
+    this->relay.TakeDataCentre(news.data_centre(), ip, news.incarnation(),
+                               std::move(sum), this->clock.Now());
+  }
+}
+
+void NewsExchange::TakeRest(const std::string& relay_ip,
+                            std::uint64_t relay_incarnation,
+                            TrafficSum sum) {
+  if (!this->relay.TakeRest(relay_ip, relay_incarnation, sum,
+                            this->clock.Now())) {
+    return;
+  }
+  this->deliver(std::move(sum));
+}
+
+}  // namespace daisywinch
--- /dev/null
+++ b/src/node/news_exchange.h
@@ -0,0 +1,85 @@
+#ifndef DAISYWINCH_NODE_NEWS_EXCHANGE_H
+#define DAISYWINCH_NODE_NEWS_EXCHANGE_H
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "coordination/news_relay.h"
+#include "node/store_watcher.h"
+#include "protocol/news_codec.h"
+#include "state/clock.h"
+#include "state/mesh_settings.h"
+#include "state/mesh_view.h"
+#include "transport/datagram_socket.h"
+
+namespace daisywinch {
+
+/// Time between two news of a node, and two rounds of a relay, without a
+/// special reason.
+inline constexpr std::chrono::milliseconds kNewsInterval{500};
+
+/// Exchanges datagrams with the other nodes: what this node tells, and, as a
+/// relay, the sums of what others tell and the changes of the store.
+///
+/// NewsRelay decides who hears what. Runs on the control thread.
+class NewsExchange {
+ public:
+  /// Called with the traffic of all other nodes.
+  using Receiver = std::function<void(TrafficSum)>;
+
+  NewsExchange(asio::io_context& context,
+               const Clock& clock,
+               const MeshSettings& settings,
+               std::uint64_t incarnation,
+               const MeshViewHolder& views,
+               StoreWatcher& watcher,
+               Receiver deliver);
+
+  /// Binds and starts to receive; returns the error if the address cannot be
+  /// used.
+  ErrorCode Listen() { return this->socket.Listen(this->address); }
+
+  /// Takes the VMs and customers that are in force now.
+  void TakeView(const MeshView& view);
+
+  /// Tells the relays of this node's own traffic.
+  void TellOwn(protocol::NodeNews news);
+
+  /// Tells, as a relay, what is due or urgent; to be called more often than
+  /// that. A node that stops relays no more.
+  void RelayNews(bool is_draining);
+
+ private:
+  void TakeDatagram(const std::string& ip, std::string_view content);
+  void TakeSum(const std::string& ip, const protocol::SumNews& news);
+  void TakeRest(const std::string& relay,
+                std::uint64_t relay_incarnation,
+                TrafficSum sum);
+  /// Tells the nodes that this one relays for what it reads of the store.
+  void SendFeed(const protocol::StoreNews& news);
+  void SendSum(const std::string& ip,
+               const std::string& data_centre,
+               const TrafficSum& sum);
+  void Send(const std::string& ip, const protocol::Datagram& datagram);
+
+  const Clock& clock;
+  std::string ip;
+  std::string data_centre;
+  Address address;
+  std::uint64_t incarnation;
+  const MeshViewHolder& views;
+  StoreWatcher& watcher;
+  Receiver deliver;
+  DatagramSocket socket;
+  NewsRelay relay;
+  TimePoint relayed_at;
+  /// What was last told of the store's being reachable.
+  bool told_reachable = false;
+  std::uint64_t sequence = 0;
+};
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_NODE_NEWS_EXCHANGE_H
--- a/src/state/time_text.h
+++ b/src/state/time_text.h
@@ -1,6 +1,8 @@
 #ifndef DAISYWINCH_STATE_TIME_TEXT_H
 #define DAISYWINCH_STATE_TIME_TEXT_H
 
+#include <algorithm>
+#include <cstdint>
 #include <optional>
 #include <string_view>
 
@@ -18,6 +20,13 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+/// A span in whole microseconds; 0 for one below zero.
+inline std::uint64_t ToMicroseconds(Duration duration) {
+  return std::max<std::int64_t>(
+      0,
+      std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
+}
+
 /// A span from seconds as a floating-point number.
 inline Duration FromSeconds(double seconds) {
   return std::chrono::duration_cast<Duration>(
