Tell a customer's rate and burst last with a refusal over its rate

explain/refused_for_its_rate reads the account by its first figure, and failed when rate and burst were put before it; the case is unchanged and passes.

--- a/src/coordination/customer_ledger.cc
+++ b/src/coordination/customer_ledger.cc
@@ -241,14 +241,14 @@
     return "unknown";
   }
   const Account& account = found->second;
-  return "rate " + std::to_string(account.rate) + " burst " +
-         std::to_string(account.burst) + " tokens " +
-         std::to_string(account.tokens) + " own " +
+  return "tokens " + std::to_string(account.tokens) + " own " +
          std::to_string(account.own_tokens) + " part " +
          std::to_string(account.agreed_part) + " demand " +
          std::to_string(account.told_demand) + " others " +
          std::to_string(account.others_demand) + " admitted " +
-         std::to_string(account.admitted) +
+         std::to_string(account.admitted) + " rate " +
+         std::to_string(account.rate) + " burst " +
+         std::to_string(account.burst) +
          (this->IsAnyoneSilent(now) ? " silence" : "");
 }
 
