--- a/src/node/news_exchange.cc
+++ b/src/node/news_exchange.cc
@@ -52,7 +52,8 @@
   const TimePoint now = this->clock.Now();
   protocol::Datagram datagram;
   *datagram.mutable_node() = std::move(news);
-  for (const std::string& ip : this->relay.OwnRelays(now)) {
+  this->own_relays = this->relay.OwnRelays(now);
+  for (const std::string& ip : this->own_relays) {
     if (ip == this->ip) {
       this->relay.TakeNode(ip, this->incarnation,
                            DecodeTrafficNews(datagram.node()), now);
@@ -107,7 +108,12 @@
   *datagram.mutable_store() = news;
   datagram.mutable_store()->set_relay(this->ip);
   datagram.mutable_store()->set_incarnation(this->incarnation);
-  for (const std::string& ip : this->relay.Listeners(this->clock.Now())) {
+  std::vector<std::string> receivers = this->relay.Listeners(this->clock.Now());
+  if (receivers.empty()) {
+    // The relays do not read the store, or this node would be fed.
+    receivers = this->own_relays;
+  }
+  for (const std::string& ip : receivers) {
     if (ip != this->ip) {
       this->Send(ip, datagram);
     }
--- a/src/node/news_exchange.h
+++ b/src/node/news_exchange.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "coordination/news_relay.h"
 #include "node/store_watcher.h"
@@ -57,7 +58,8 @@
   void TakeRest(const std::string& relay,
                 std::uint64_t relay_incarnation,
                 TrafficSum sum);
-  /// Tells the nodes that this one relays for what it reads of the store.
+  /// Tells what this node reads of the store: as a relay, the nodes that it
+  /// relays for, and else its relays, which cannot read it.
   void SendFeed(const protocol::StoreNews& news);
   void SendSum(const std::string& ip,
                const std::string& data_centre,
@@ -74,6 +76,8 @@
   Receiver deliver;
   DatagramSocket socket;
   NewsRelay relay;
+  /// The relays that were told last.
+  std::vector<std::string> own_relays;
   TimePoint relayed_at;
   /// What was last told of the store's being reachable.
   bool told_reachable = false;
--- a/src/node/store_watcher.cc
+++ b/src/node/store_watcher.cc
@@ -309,7 +309,7 @@
 }
 
 std::optional<protocol::StoreNews> StoreWatcher::TellFeed() const {
-  if (!this->is_relay || this->has_listed.empty()) {
+  if (this->IsFed() || this->has_listed.empty()) {
     return std::nullopt;
   }
   protocol::StoreNews news;
--- a/src/node/store_watcher.h
+++ b/src/node/store_watcher.h
@@ -48,7 +48,7 @@
   void SetRelay(bool is_one) { this->is_relay = is_one; }
   /// Takes what a relay tells of the store.
   void TakeFeed(const protocol::StoreNews& news);
-  /// What a relay tells without an occasion; nothing while this node is fed by
+  /// What this node tells without an occasion; nothing while it is fed by
   /// others.
   std::optional<protocol::StoreNews> TellFeed() const;
 
