Count what young nodes admitted; hold nodes to their part until the others are heard

Ruled out: a thinner error part (0.25 to 0.1: the same windows broke). Counts over less than 5 s are taken whole; a node that has heard nobody has an equal part of the burst and of the rate.

news_relay/a_restart_of_all_nodes_keeps_the_bound: 3,034, 3,046 and 3,189 of 3,020 without the young counts, within the bound with them.

--- a/src/coordination/customer_ledger.cc
+++ b/src/coordination/customer_ledger.cc
@@ -45,9 +45,6 @@
 
 void CustomerLedger::Configure(const MeshConfiguration& configuration,
                                TimePoint now) {
-  if (!this->configured_at) {
-    this->configured_at = now;
-  }
   std::unordered_map<std::string, Account> kept;
   for (const MeshCustomer& customer : configuration.Customers()) {
     const auto found = this->accounts.find(customer.name);
@@ -122,6 +119,10 @@
   for (auto& [name, account] : this->accounts) {
     account.agreed_part =
         std::max(account.agreed_part, account.told_demand > 0 ? 0 : equal_part);
+    if (account.admitted == 0) {
+      // Until the others are heard, an equal part of the burst is this node's.
+      account.own_tokens = kLeastOwnTokens + account.burst * equal_part;
+    }
   }
   this->SumPeers();
 }
@@ -163,15 +164,11 @@
       this->peers.begin(), this->peers.end(), [now](const auto& peer) {
         return !peer.second.is_leaving && now - peer.second.heard_at > kSilence;
       });
-  // At the start all have time to make themselves heard.
-  const bool may_be_unheard =
-      !this->configured_at || now - *this->configured_at <= kSilence;
   return is_peer_silent ||
-         (!may_be_unheard &&
-          std::any_of(this->other_nodes.begin(), this->other_nodes.end(),
-                      [this](const std::string& node) {
-                        return !this->peers.contains(node);
-                      }));
+         std::any_of(this->other_nodes.begin(), this->other_nodes.end(),
+                     [this](const std::string& node) {
+                       return !this->peers.contains(node);
+                     });
 }
 
 void CustomerLedger::Refill(Account& account, double part, TimePoint now) {
--- a/src/coordination/customer_ledger.h
+++ b/src/coordination/customer_ledger.h
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -122,7 +121,6 @@
   std::map<std::string, Peer> peers;
   std::set<std::string> other_nodes;
   std::size_t fleet_size = 1;
-  std::optional<TimePoint> configured_at;
 };
 
 }  // namespace daisywinch
--- a/src/coordination/news_relay.cc
+++ b/src/coordination/news_relay.cc
@@ -63,7 +63,7 @@
     // of one that it never heard, no earlier count is known to compare with.
     Count& count = source.customers[customer];
     const std::uint64_t before = is_same_run ? count.told : 0;
-    if (!is_new && use.admitted >= before) {
+    if ((!is_new || news.age < kYoungAge) && use.admitted >= before) {
       deltas[customer] = static_cast<double>(use.admitted - before);
     }
     count.told = use.admitted;
@@ -86,8 +86,7 @@
   }
   Source& source = this->data_centres[other];
   std::map<std::string, double> deltas;
-  if (!source.relayed.Take(relay, incarnation, sum.members, sum.customers, now,
-                           deltas)) {
+  if (!source.relayed.Take(relay, incarnation, sum, now, deltas)) {
     return;
   }
   if (now - source.heard_at < kUrgentGap) {
@@ -105,8 +104,7 @@
                          TimePoint now) {
   this->Heard(relay);
   std::map<std::string, double> deltas;
-  if (!this->rest.Take(relay, incarnation, sum.members, sum.customers, now,
-                       deltas)) {
+  if (!this->rest.Take(relay, incarnation, sum, now, deltas)) {
     return false;
   }
   for (const auto& [customer, delta] : deltas) {
--- a/src/coordination/relayed_counts.cc
+++ b/src/coordination/relayed_counts.cc
@@ -39,21 +39,21 @@
 
 bool RelayedCounts::Take(const std::string& relay,
                          std::uint64_t incarnation,
-                         std::uint32_t members,
-                         const Counts& counts,
+                         const TrafficSum& sum,
                          TimePoint now,
                          std::map<std::string, double>& deltas) {
+  const Counts& counts = sum.customers;
   std::erase_if(this->relays, [now](const auto& entry) {
     return now - entry.second.heard_at > kForgotten;
   });
-  const bool is_followed = this->ShouldFollow(relay, members, now);
+  const bool is_followed = this->ShouldFollow(relay, sum.members, now);
   Relay& teller = this->relays[relay];
   if (teller.incarnation != incarnation) {
     teller = Relay();
     teller.incarnation = incarnation;
   }
   teller.heard_at = now;
-  teller.members = members;
+  teller.members = sum.members;
   teller.latest = counts;
   if (!teller.has_base && !is_followed) {
     // The first that is known of it; the followed one was heard lately.
--- a/src/coordination/relayed_counts.h
+++ b/src/coordination/relayed_counts.h
@@ -10,6 +10,10 @@
 
 namespace daisywinch {
 
+/// Counts over less time than this are taken whole, although no earlier ones
+/// are known: what was admitted so lately weighs on a customer's bucket.
+inline constexpr std::chrono::seconds kYoungAge{5};
+
 /// Follows what two or more relays count of the same nodes, one at a time.
 ///
 /// Each relay counts from its own start, so its counts compare only with its
@@ -25,8 +29,7 @@
   /// a relay that has no earlier counts, the pace of before is taken to go on.
   bool Take(const std::string& relay,
             std::uint64_t incarnation,
-            std::uint32_t members,
-            const Counts& counts,
+            const TrafficSum& sum,
             TimePoint now,
             std::map<std::string, double>& deltas);
 
--- a/src/coordination/traffic_sum.h
+++ b/src/coordination/traffic_sum.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "state/clock.h"
 #include "state/root_admission.h"
 #include "state/tree_demand.h"
 
@@ -40,6 +41,8 @@
   NodeLoad load;
   /// The node stops and admits no more.
   bool is_leaving = false;
+  /// Time since the node started, over which it counts.
+  Duration age = Duration::zero();
 };
 
 /// The targets of a service, seen together.
@@ -65,6 +68,8 @@
   LoadSum load;
   /// Nodes that were heard lately; the others are reckoned with.
   std::uint32_t members = 0;
+  /// Time since the start of the relay, over which it counts.
+  Duration age = Duration::zero();
 };
 
 void AddTo(LoadSum& sum, const NodeLoad& load);
--- a/src/node/news_exchange.cc
+++ b/src/node/news_exchange.cc
@@ -25,6 +25,7 @@
       data_centre(settings.data_centre),
       address(settings.news_address),
       incarnation(incarnation),
+      started_at(clock.Now()),
       views(views),
       watcher(watcher),
       deliver(std::move(deliver)),
@@ -44,10 +45,17 @@
   }
 }
 
+std::uint64_t NewsExchange::AgeInMilliseconds() const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             this->clock.Now() - this->started_at)
+      .count();
+}
+
 void NewsExchange::TellOwn(protocol::NodeNews news) {
   news.set_node(this->ip);
   news.set_incarnation(this->incarnation);
   news.set_sequence(++this->sequence);
+  news.set_age_ms(this->AgeInMilliseconds());
   news.set_store_revision(this->watcher.Revision());
   const TimePoint now = this->clock.Now();
   protocol::Datagram datagram;
@@ -96,6 +104,7 @@
   for (const std::string& ip : listeners) {
     TrafficSum rest = this->relay.RestFor(ip, fleet);
     if (ip == this->ip) {
+      rest.age = now - this->started_at;
       this->TakeRest(ip, this->incarnation, std::move(rest));
     } else {
       this->SendSum(ip, "", rest);
@@ -130,6 +139,7 @@
   news.set_incarnation(this->incarnation);
   news.set_sequence(++this->sequence);
   news.set_data_centre(data_centre);
+  news.set_age_ms(this->AgeInMilliseconds());
   this->Send(ip, datagram);
 }
 
--- a/src/node/news_exchange.h
+++ b/src/node/news_exchange.h
@@ -64,6 +64,7 @@
   void SendSum(const std::string& ip,
                const std::string& data_centre,
                const TrafficSum& sum);
+  std::uint64_t AgeInMilliseconds() const;
   void Send(const std::string& ip, const protocol::Datagram& datagram);
 
   const Clock& clock;
@@ -71,6 +72,7 @@
   std::string data_centre;
   Address address;
   std::uint64_t incarnation;
+  TimePoint started_at;
   const MeshViewHolder& views;
   StoreWatcher& watcher;
   Receiver deliver;
--- a/src/protocol/news_codec.cc
+++ b/src/protocol/news_codec.cc
@@ -1,6 +1,8 @@
 #include "protocol/news_codec.h"
 
+#include <algorithm>
 #include <cmath>
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -13,6 +15,12 @@
   return std::isfinite(figure) && figure > 0 ? figure : 0;
 }
 
+/// An age from the network, at most a day.
+Duration ReadAge(std::uint64_t milliseconds) {
+  constexpr std::uint64_t kLongest = 24 * 60 * 60 * 1000;
+  return std::chrono::milliseconds(std::min(milliseconds, kLongest));
+}
+
 template <typename News>
 void EncodeCustomers(const std::map<std::string, CustomerUse>& customers,
                      News& news) {
@@ -95,6 +103,7 @@
 TrafficNews DecodeTrafficNews(const protocol::NodeNews& news) {
   TrafficNews traffic;
   traffic.is_leaving = news.draining();
+  traffic.age = ReadAge(news.age_ms());
   traffic.customers = DecodeCustomers(news);
   traffic.load.roots = DecodeRoots(news);
   traffic.load.service = news.service();
@@ -124,6 +133,7 @@
 TrafficSum DecodeTrafficSum(const protocol::SumNews& news) {
   TrafficSum sum;
   sum.members = news.members();
+  sum.age = ReadAge(news.age_ms());
   sum.customers = DecodeCustomers(news);
   sum.load.roots = DecodeRoots(news);
   for (const protocol::ServiceSupply& row : news.services()) {
--- a/tests/coordination/news_relay_test.cc
+++ b/tests/coordination/news_relay_test.cc
@@ -76,6 +76,9 @@
     }
   }
 
+  /// Windows are counted from now on.
+  void ForgetAdmitted() { this->admitted_at.clear(); }
+
   /// A node starts anew and knows nothing.
   void Restart(std::size_t index) { this->Start(this->nodes[index]); }
 
@@ -134,6 +137,7 @@
     std::uint64_t incarnation = 0;
     std::unique_ptr<CustomerLedger> ledger;
     std::unique_ptr<NewsRelay> relay;
+    TimePoint started_at;
     TimePoint looks_at;
     TimePoint told_at;
     TimePoint relayed_at;
@@ -145,6 +149,7 @@
 
   void Start(WorldNode& node) {
     node.incarnation = this->next_incarnation++;
+    node.started_at = this->now;
     node.ledger = std::make_unique<CustomerLedger>(PlatformBounds());
     node.ledger->Configure(this->configuration, this->now);
     node.ledger->SetNodes({"others"}, this->nodes.size(), this->now);
@@ -217,6 +222,7 @@
       news.customers = node.ledger->Tell(this->now);
       news.load.service = "voucher";
       news.load.slots = 1;
+      news.age = this->now - node.started_at;
       for (const std::string& ip : node.relay->OwnRelays(this->now)) {
         this->Send(index, ip,
                    [this, news, from = node.ip,
@@ -239,7 +245,8 @@
       return;
     }
     node.relayed_at = this->now;
-    const TrafficSum own = node.relay->OwnDataCentre(this->now);
+    TrafficSum own = node.relay->OwnDataCentre(this->now);
+    own.age = this->now - node.started_at;
     for (const std::string& ip : node.relay->RemoteRelays(this->now)) {
       this->Send(index, ip,
                  [this, own, centre = node.centre, from = node.ip,
@@ -250,7 +257,8 @@
     }
     const FleetSum fleet = node.relay->Fleet(this->now);
     for (const std::string& ip : node.relay->Listeners(this->now)) {
-      const TrafficSum rest = node.relay->RestFor(ip, fleet);
+      TrafficSum rest = node.relay->RestFor(ip, fleet);
+      rest.age = this->now - node.started_at;
       this->Send(index, ip,
                  [this, rest, from = node.ip,
                   incarnation = node.incarnation](WorldNode& listener) {
@@ -399,6 +407,22 @@
   }
 }
 
+// All nodes of 87 were killed while a customer asked for four times its rate:
+// until the first news had gone round, each spent the whole burst.
+BOOST_AUTO_TEST_CASE(a_restart_of_all_nodes_keeps_the_bound) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    RelayWorld world(3, 20, 400, seed);
+    world.Run(250, milliseconds(3000));
+    world.Run(1600, milliseconds(3000));
+    for (std::size_t index = 0; index < 60; ++index) {
+      world.Restart(index);
+    }
+    world.ForgetAdmitted();
+    world.Run(1600, milliseconds(6000));
+    BOOST_TEST(world.MostInWindow() <= world.Bound());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_data_centre_cut_off_keeps_the_bound) {
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     RelayWorld world(3, 6, 80, seed);
