Log what a node believes of its relays and its feed

Events 2013, 2014 and 3004 to 3006: a node begins or ceases to be fed with the store's changes, goes by another relay, and a relay finds traffic silent or heard again. Without them a wrongly refused request could not be led back to a relay that changed.

--- a/src/coordination/news_relay.cc
+++ b/src/coordination/news_relay.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "state/event_log.h"
 #include "state/time_text.h"
 
 namespace daisywinch {
@@ -29,6 +30,11 @@
 /// tell twice a second without a special reason.
 constexpr std::chrono::milliseconds kUrgentGap{350};
 
+std::uint64_t MillisecondsBetween(TimePoint from, TimePoint to) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(to - from)
+      .count();
+}
+
 }  // namespace
 
 NewsRelay::NewsRelay(std::string ip, std::string data_centre)
@@ -68,8 +74,7 @@
     }
     count.told = use.admitted;
   }
-  this->ReckonSilenceOf(source, now);
-  AddDeltas(source, deltas, news.customers, now);
+  this->TakeDeltas(node, source, deltas, news.customers, now);
   source.is_leaving = news.is_leaving;
   source.load = LoadSum();
   AddTo(source.load, news.load);
@@ -92,8 +97,7 @@
   if (now - source.heard_at < kUrgentGap) {
     this->urgency.listeners = true;
   }
-  this->ReckonSilenceOf(source, now);
-  AddDeltas(source, deltas, sum.customers, now);
+  this->TakeDeltas(other, source, deltas, sum.customers, now);
   source.members = sum.members;
   source.load = std::move(sum.load);
 }
@@ -104,9 +108,16 @@
                          TimePoint now) {
   this->Heard(relay);
   std::map<std::string, double> deltas;
+  const std::string before = this->rest.Followed();
   if (!this->rest.Take(relay, incarnation, sum, now, deltas)) {
     return false;
   }
+  if (before != relay) {
+    LogEvent(EventId::kRelayFollowed,
+             {{"relay", relay},
+              {"before", before},
+              {"members", static_cast<std::uint64_t>(sum.members)}});
+  }
   for (const auto& [customer, delta] : deltas) {
     this->rest_counts[customer] += delta;
   }
@@ -116,10 +127,17 @@
   return true;
 }
 
-void NewsRelay::AddDeltas(Source& source,
-                          const std::map<std::string, double>& deltas,
-                          const std::map<std::string, CustomerUse>& uses,
-                          TimePoint now) {
+void NewsRelay::TakeDeltas(const std::string& name,
+                           Source& source,
+                           const std::map<std::string, double>& deltas,
+                           const std::map<std::string, CustomerUse>& uses,
+                           TimePoint now) {
+  this->ReckonSilenceOf(source, now);
+  if (source.is_silent) {
+    LogEvent(EventId::kTrafficHeard,
+             {{"source", name},
+              {"silent_ms", MillisecondsBetween(source.heard_at, now)}});
+  }
   for (const auto& [customer, use] : uses) {
     source.customers.try_emplace(customer);
   }
@@ -141,7 +159,13 @@
   for (std::map<std::string, Source>* sources :
        {&this->nodes, &this->data_centres}) {
     for (auto& [name, source] : *sources) {
+      const bool was_silent = source.is_silent;
       this->ReckonSilenceOf(source, now);
+      if (source.is_silent && !was_silent) {
+        LogEvent(EventId::kTrafficSilent,
+                 {{"source", name},
+                  {"silent_ms", MillisecondsBetween(source.heard_at, now)}});
+      }
     }
   }
   const std::set<std::string>& own = this->listed[this->data_centre];
--- a/src/coordination/news_relay.h
+++ b/src/coordination/news_relay.h
@@ -134,10 +134,11 @@
   };
 
   /// Adds what a source admitted since its last news, by customer.
-  static void AddDeltas(Source& source,
-                        const std::map<std::string, double>& deltas,
-                        const std::map<std::string, CustomerUse>& uses,
-                        TimePoint now);
+  void TakeDeltas(const std::string& name,
+                  Source& source,
+                  const std::map<std::string, double>& deltas,
+                  const std::map<std::string, CustomerUse>& uses,
+                  TimePoint now);
   /// Reckons with what silent sources may have admitted.
   void ReckonSilence(TimePoint now);
   void ReckonSilenceOf(Source& source, TimePoint now);
--- a/src/coordination/relayed_counts.h
+++ b/src/coordination/relayed_counts.h
@@ -33,6 +33,9 @@
             TimePoint now,
             std::map<std::string, double>& deltas);
 
+  /// The relay that is gone by; empty while there was none.
+  const std::string& Followed() const { return this->followed; }
+
  private:
   struct Relay {
     std::uint64_t incarnation = 0;
--- a/src/node/store_watcher.cc
+++ b/src/node/store_watcher.cc
@@ -88,6 +88,17 @@
   return !this->is_relay && this->store_feed.IsFed(this->clock.Now());
 }
 
+void StoreWatcher::ReportFeed() {
+  const bool is_fed = this->IsFed();
+  if (is_fed == this->reported_fed) {
+    return;
+  }
+  this->reported_fed = is_fed;
+  LogEvent(is_fed ? EventId::kStoreFed : EventId::kStoreReadItself,
+           {{"relay", this->is_relay ? "true" : "false"},
+            {"revision", this->Revision()}});
+}
+
 Awaitable<> StoreWatcher::Pause(Duration time) {
   Timer timer(this->context, time);
   ErrorCode ignored;
@@ -496,6 +507,7 @@
     Timer timer(this->context, kSettleInterval);
     ErrorCode ignored;
     co_await timer.async_wait(Await(ignored));
+    this->ReportFeed();
     if (this->directory.Settle(this->clock.Now())) {
       this->on_change();
     }
--- a/src/node/store_watcher.h
+++ b/src/node/store_watcher.h
@@ -75,6 +75,8 @@
   /// Reads what the feed shows to be missing.
   Awaitable<> CatchUp(std::string prefix);
   bool IsFed() const;
+  /// Logs that this node has begun or ceased to be fed.
+  void ReportFeed();
   Awaitable<> Pause(Duration time);
   /// Waits until the store may be asked again, or a relay reads it.
   Awaitable<> PauseAfterFailure(int failures_in_row);
@@ -111,6 +113,7 @@
   StoreFeed store_feed;
   std::function<void(const protocol::StoreNews&)> feed;
   bool is_relay = false;
+  bool reported_fed = false;
   /// When the store, or a relay that reads it, was last heard.
   TimePoint heard_at;
   /// When it was last heard before it was lost.
--- a/src/state/event_log.cc
+++ b/src/state/event_log.cc
@@ -79,6 +79,13 @@
                      "store-history-gone",
                      "The store no longer keeps the changes since the last "
                      "one that was read; everything is read anew."},
+    EventDescription{EventId::kStoreFed, kInformation, "store-fed",
+                     "A relay passes the store's changes on; this node waits "
+                     "at the store no longer."},
+    EventDescription{EventId::kStoreReadItself, kInformation,
+                     "store-read-itself",
+                     "This node reads the store itself, as a relay or as no "
+                     "relay that reads it is heard."},
     EventDescription{EventId::kPeerSuspected, kWarning, "peer-suspected",
                      "A node of the VM list stopped answering."},
     EventDescription{EventId::kPeerRestored, kInformation, "peer-restored",
@@ -86,6 +93,15 @@
     EventDescription{EventId::kPeerRejected, kWarning, "peer-rejected",
                      "A connection or message did not prove the fleet's "
                      "secret."},
+    EventDescription{
+        EventId::kRelayFollowed, kInformation, "relay-followed",
+        "This node goes by what another relay tells of the fleet's "
+        "traffic."},
+    EventDescription{EventId::kTrafficSilent, kWarning, "traffic-silent",
+                     "A relay hears no more of a node's or a data centre's "
+                     "traffic and reckons with its part of the rates."},
+    EventDescription{EventId::kTrafficHeard, kInformation, "traffic-heard",
+                     "A relay hears of that traffic again."},
     EventDescription{EventId::kTargetCold, kWarning, "target-cold",
                      "The target is new, restarted or cold again; its limit "
                      "starts low."},
