--- a/src/state/settings.h
+++ b/src/state/settings.h
@@ -1,11 +1,11 @@
 #ifndef DAISYWINCH_STATE_SETTINGS_H
 #define DAISYWINCH_STATE_SETTINGS_H
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include <boost/json.hpp>
 
@@ -21,8 +21,10 @@
   std::uint16_t port = 0;
 
   std::string ToString() const;
-  friend std::strong_ordering operator<=>(const Address&,
-                                          const Address&) = default;
+  friend bool operator==(const Address&, const Address&) = default;
+  friend bool operator<(const Address& left, const Address& right) {
+    return std::tie(left.ip, left.port) < std::tie(right.ip, right.port);
+  }
 };
 
 /// Parses "IP:PORT", with an IPv6 number in square brackets.
--- a/tests/coordination/news_relay_test.cc
+++ b/tests/coordination/news_relay_test.cc
@@ -190,13 +190,15 @@
   void Send(std::size_t from,
             const std::string& ip,
             std::function<void(WorldNode&)> message) {
-    for (std::size_t to = 0; to < this->nodes.size(); ++to) {
-      if (this->nodes[to].ip == ip && from == to) {
-        message(this->nodes[to]);
-      } else if (this->nodes[to].ip == ip && this->CanReach(from, to)) {
-        ++this->datagrams;
-        this->links.push_back({this->now + kLinkDelay, to, std::move(message)});
-      }
+    std::size_t to = 0;
+    while (this->nodes[to].ip != ip) {
+      ++to;
+    }
+    if (from == to) {
+      message(this->nodes[to]);
+    } else if (this->CanReach(from, to)) {
+      ++this->datagrams;
+      this->links.push_back({this->now + kLinkDelay, to, std::move(message)});
     }
   }
 
