--- a/tests/coordination/news_relay_test.cc
+++ b/tests/coordination/news_relay_test.cc
@@ -106,6 +106,10 @@
     return this->nodes[index].slots_heard;
   }
 
+  int AdmittedCount() const {
+    return static_cast<int>(this->admitted_at.size());
+  }
+
   int MostInWindow() const {
     int most = 0;
     std::deque<TimePoint> window;
@@ -438,6 +442,21 @@
   }
 }
 
+// Parts of sources that fell silent at different times came to more than all:
+// whoever was left stayed in debt for as long as the silence lasted.
+BOOST_AUTO_TEST_CASE(silent_parts_leave_something_to_those_who_are_heard) {
+  RelayWorld world(3, 6, 80, 5);
+  world.Run(50, milliseconds(4000), {6, 7, 8, 9, 10, 11});
+  world.cut_centres = {"dc-1"};
+  world.Run(50, milliseconds(8000), {12, 13, 14, 15, 16, 17});
+  world.cut_centres = {"dc-1", "dc-2"};
+  world.Run(0, milliseconds(3000));
+  const int before = world.AdmittedCount();
+  world.Run(50, milliseconds(10'000), {0, 1, 2, 3, 4, 5});
+  // A twentieth of the rate, at least.
+  BOOST_TEST(world.AdmittedCount() - before >= 80 / 20 * 10);
+}
+
 BOOST_AUTO_TEST_CASE(usual_demand_is_served_while_a_data_centre_is_cut_off) {
   RelayWorld world(3, 6, 80, 3);
   world.Run(50, milliseconds(4000));
