Keep a closed connection until the caller has read the response

Callers could lose the end of a response, or all of it: a connection that is closed while received bytes are unread is reset, and the reset discards what the caller has not received yet. This happened whenever a response ended its connection and bytes were behind the request: a pipelined request, or the rest of a body that was refused as too large.

HttpServer now ends its sent bytes and reads until the caller closes the connection, for 1 s at most.

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -18,6 +18,9 @@
 
 constexpr std::size_t kReadSize = 8 * 1024;
 constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
+/// Maximum time for which a connection that this server closes is kept for the
+/// caller to read the response.
+constexpr std::chrono::seconds kLingerTime{1};
 
 /// The refusal reason for a request that could not be parsed; nothing if no
 /// response can be sent for the error.
@@ -131,7 +134,7 @@
       break;
     }
   }
-  connection->stream.close();
+  co_await this->Close(*connection);
   --this->connection_count;
   this->connections.erase(position);
 }
@@ -174,6 +177,18 @@
   co_return !error;
 }
 
+Awaitable<> HttpServer::Close(Connection& connection) {
+  ErrorCode error;
+  connection.stream.socket().shutdown(Tcp::socket::shutdown_send, error);
+  connection.stream.expires_after(kLingerTime);
+  while (!error) {
+    connection.buffer.clear();
+    co_await connection.stream.async_read_some(
+        connection.buffer.prepare(kReadSize), Await(error));
+  }
+  connection.stream.close();
+}
+
 Awaitable<> HttpServer::WatchForDisconnect(
     std::shared_ptr<Connection> connection,
     std::shared_ptr<Cancellation> cancellation) {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -61,6 +61,10 @@
   /// refusal has then been sent where the error allows it.
   Awaitable<bool> Read(Connection& connection, HttpRequest& request);
   Awaitable<bool> Write(Connection& connection, HttpResponse response);
+  /// Ends the sent bytes and waits for the caller to close the connection.
+  /// Closing it while received bytes are unread would reset it, and the caller
+  /// would lose the end of the response.
+  Awaitable<> Close(Connection& connection);
   /// Fires the cancellation when the caller closes the connection during a
   /// request.
   Awaitable<> WatchForDisconnect(std::shared_ptr<Connection> connection,
