Replace the longest idle connection when there are too many

While max_connections connections were open, HttpServer closed each new one without a word: its caller had sent a request and got no answer, as long as idle connections of other callers filled the limit.

A new connection now replaces the one that has been idle for longest. If none is idle it waits in the accept queue, and so it does while the process is out of file descriptors.

http_server/connection_over_the_limit_replaces_the_longest_idle_one: with the former http_server.cc it did not end within 20 s, as no connection was closed but the new one (its first form waited for the end of the idle connection first); passes three times of three now.

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -11,6 +11,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/beast/core/error.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 
 namespace daisywinch {
 
@@ -43,11 +45,21 @@
 }  // namespace
 
 struct HttpServer::Connection {
+  /// What the connection waits for.
+  enum class State { kFirstRequest, kNextRequest, kInRequest, kClosing };
+
   explicit Connection(Tcp::socket socket) : stream(std::move(socket)) {}
 
+  /// Whether bytes have arrived that were not read yet.
+  bool HasUnreadBytes() {
+    char byte = 0;
+    return ::recv(this->stream.socket().native_handle(), &byte, sizeof(byte),
+                  MSG_PEEK | MSG_DONTWAIT) > 0;
+  }
+
   boost::beast::tcp_stream stream;
   boost::beast::flat_buffer buffer;
-  bool busy = false;
+  State state = State::kFirstRequest;
 };
 
 HttpServer::HttpServer(asio::io_context& context,
@@ -59,63 +71,80 @@
       acceptor(context) {}
 
 ErrorCode HttpServer::Listen(const Address& address) {
-  const ErrorCode error = ListenOn(this->acceptor, address);
+  ErrorCode error = ListenOn(this->acceptor, address);
+  if (!error) {
+    this->acceptor.non_blocking(true, error);
+  }
   if (!error) {
     asio::co_spawn(this->context, this->Accept(), asio::detached);
   }
   return error;
 }
 
-void HttpServer::Stop() {
-  this->stopping = true;
-  ErrorCode ignored;
-  this->acceptor.close(ignored);
-  for (const std::weak_ptr<Connection>& weak : this->connections) {
-    const std::shared_ptr<Connection> connection = weak.lock();
-    if (connection && !connection->busy) {
-      connection->stream.close();
+Awaitable<> HttpServer::Accept() {
+  while (this->acceptor.is_open()) {
+    ErrorCode error;
+    co_await this->acceptor.async_wait(Tcp::acceptor::wait_read, Await(error));
+    const bool has_room =
+        this->connections.size() < this->limits.max_connections;
+    if (has_room && this->AcceptQueued(this->limits.max_connections)) {
+      continue;
     }
+    this->CloseLongestIdle();
+    Timer timer(this->context, kAcceptRetryDelay);
+    co_await timer.async_wait(Await(error));
   }
 }
 
-Awaitable<> HttpServer::Accept() {
-  while (!this->stopping) {
-    ErrorCode error;
+bool HttpServer::AcceptQueued(std::size_t max_connections) {
+  ErrorCode error;
+  while (!error && this->connections.size() < max_connections) {
     Tcp::socket socket(this->context);
-    co_await this->acceptor.async_accept(socket, Await(error));
-    if (this->stopping) {
-      co_return;
+    this->acceptor.accept(socket, error);
+    if (!error) {
+      this->Start(std::move(socket));
     }
-    if (error) {
-      // The process has probably run out of file descriptors; wait to avoid a
-      // busy loop.
-      Timer timer(this->context, kAcceptRetryDelay);
-      co_await timer.async_wait(Await(error));
-      continue;
+  }
+  return !error || error == asio::error::would_block ||
+         error == asio::error::connection_aborted;
+}
+
+void HttpServer::Start(Tcp::socket socket) {
+  ErrorCode ignored;
+  socket.set_option(Tcp::no_delay(true), ignored);
+  const ConnectionList::iterator position = this->connections.insert(
+      this->connections.end(), std::make_shared<Connection>(std::move(socket)));
+  asio::co_spawn(this->context, this->Serve(position), asio::detached);
+}
+
+void HttpServer::CloseLongestIdle() {
+  using State = Connection::State;
+  for (const std::shared_ptr<Connection>& connection : this->connections) {
+    if (connection->state == State::kClosing) {
+      return;
     }
-    if (this->connection_count >= this->limits.max_connections) {
-      continue;
+    if (connection->state == State::kNextRequest &&
+        !connection->HasUnreadBytes()) {
+      connection->stream.cancel();
+      return;
     }
-    socket.set_option(Tcp::no_delay(true), error);
-    const std::shared_ptr<Connection> connection =
-        std::make_shared<Connection>(std::move(socket));
-    asio::co_spawn(this->context, this->Serve(connection), asio::detached);
   }
 }
 
-Awaitable<> HttpServer::Serve(std::shared_ptr<Connection> connection) {
-  const auto position =
-      this->connections.insert(this->connections.end(), connection);
-  ++this->connection_count;
-  while (!this->stopping) {
+Awaitable<> HttpServer::Serve(ConnectionList::iterator position) {
+  const std::shared_ptr<Connection> connection = *position;
+  bool keep_alive = true;
+  while (keep_alive) {
     HttpRequest request;
-    const bool was_read = co_await this->Read(*connection, request);
+    const bool has_request = co_await this->WaitForRequest(*connection);
+    connection->state = Connection::State::kInRequest;
+    const bool was_read =
+        has_request && co_await this->Read(*connection, request);
     if (!was_read) {
       break;
     }
-    connection->busy = true;
     ++this->requests_in_progress;
-    const bool keep_alive = request.keep_alive();
+    keep_alive = request.keep_alive();
     const std::shared_ptr<Cancellation> cancellation =
         std::make_shared<Cancellation>();
     asio::co_spawn(this->context,
@@ -125,31 +154,36 @@
         co_await this->handler(std::move(request), cancellation);
     ErrorCode ignored;
     connection->stream.socket().cancel(ignored);
-    response.keep_alive(keep_alive && !this->stopping);
+    response.keep_alive(keep_alive);
     const bool was_written =
         co_await this->Write(*connection, std::move(response));
     --this->requests_in_progress;
-    connection->busy = false;
-    if (!was_written || !keep_alive) {
-      break;
-    }
+    keep_alive = keep_alive && was_written;
+    connection->state = Connection::State::kNextRequest;
+    this->connections.splice(this->connections.end(), this->connections,
+                             position);
   }
+  connection->state = Connection::State::kClosing;
   co_await this->Close(*connection);
-  --this->connection_count;
   this->connections.erase(position);
 }
 
-Awaitable<bool> HttpServer::Read(Connection& connection, HttpRequest& request) {
+Awaitable<bool> HttpServer::WaitForRequest(Connection& connection) {
   ErrorCode error;
-  if (connection.buffer.size() == 0) {
-    connection.stream.expires_after(this->limits.idle_timeout);
-    const std::size_t count = co_await connection.stream.async_read_some(
-        connection.buffer.prepare(kReadSize), Await(error));
-    connection.buffer.commit(count);
-    if (error) {
-      co_return false;
-    }
+  if (connection.buffer.size() > 0) {
+    co_return true;
   }
+  connection.stream.expires_after(this->limits.idle_timeout);
+  const std::size_t count = co_await connection.stream.async_read_some(
+      connection.buffer.prepare(kReadSize), Await(error));
+  connection.buffer.commit(count);
+  // A request may have arrived after the wait was cancelled.
+  co_return !error ||
+      (error == asio::error::operation_aborted && connection.HasUnreadBytes());
+}
+
+Awaitable<bool> HttpServer::Read(Connection& connection, HttpRequest& request) {
+  ErrorCode error;
   http::request_parser<http::string_body> parser;
   parser.header_limit(this->limits.header_bytes);
   parser.body_limit(this->limits.body_bytes);
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -2,14 +2,12 @@
 #define DAISYWINCH_TRANSPORT_HTTP_SERVER_H
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
 
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-
 #include "transport/asio.h"
 #include "transport/cancellation.h"
 #include "transport/http.h"
@@ -20,14 +18,17 @@
 struct HttpLimits {
   std::uint32_t header_bytes = 16 * 1024;
   std::uint64_t body_bytes = 4 * 1024 * 1024;
-  int max_connections = 4096;
+  std::size_t max_connections = 4096;
   Duration idle_timeout = std::chrono::seconds(60);
   /// Timeout for reading a whole request, and for writing a response.
   Duration transfer_timeout = std::chrono::seconds(10);
 };
 
 /// HTTP/1.1 server on one address that handles each request in a coroutine.
-/// Connections above HttpLimits::max_connections are closed at once.
+///
+/// While HttpLimits::max_connections are open, a new connection replaces the
+/// one that has been idle for longest; if none is idle, it waits to be
+/// accepted.
 ///
 /// All methods but RequestsInProgress() run on the thread of the context.
 class HttpServer {
@@ -45,18 +46,26 @@
   /// Starts to listen; returns the error if the address cannot be bound.
   ErrorCode Listen(const Address& address);
 
-  /// Accepts no new connections and closes idle ones. A connection with a
-  /// request in progress is closed after its response.
-  void Stop();
-
   /// Number of requests whose response has not been written yet. Thread-safe.
   int RequestsInProgress() const { return this->requests_in_progress; }
 
  private:
   struct Connection;
+  using ConnectionList = std::list<std::shared_ptr<Connection>>;
 
   Awaitable<> Accept();
-  Awaitable<> Serve(std::shared_ptr<Connection> connection);
+  /// Accepts connections from the accept queue until it is empty or
+  /// `max_connections` are open. Returns false if that failed, such as for lack
+  /// of file descriptors.
+  bool AcceptQueued(std::size_t max_connections);
+  void Start(Tcp::socket socket);
+  /// Closes the connection that has been idle for longest, unless one is being
+  /// closed already.
+  void CloseLongestIdle();
+  Awaitable<> Serve(ConnectionList::iterator position);
+  /// Waits for the first byte of the next request. Returns false if the
+  /// connection must be closed.
+  Awaitable<bool> WaitForRequest(Connection& connection);
   /// Reads one request. Returns false if the connection must be closed; a
   /// refusal has then been sent where the error allows it.
   Awaitable<bool> Read(Connection& connection, HttpRequest& request);
@@ -74,10 +83,9 @@
   HttpLimits limits;
   Handler handler;
   Tcp::acceptor acceptor;
-  std::list<std::weak_ptr<Connection>> connections;
-  int connection_count = 0;
+  /// Open connections; idle ones in the order in which they became idle.
+  ConnectionList connections;
   std::atomic<int> requests_in_progress = 0;
-  bool stopping = false;
 };
 
 }  // namespace daisywinch
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -25,9 +25,11 @@
 /// answered with a large body.
 class ServerFixture {
  public:
-  ServerFixture() {
+  explicit ServerFixture(std::size_t max_connections = 100) {
+    HttpLimits limits;
+    limits.max_connections = max_connections;
     this->server = std::make_unique<HttpServer>(
-        this->context, HttpLimits(),
+        this->context, limits,
         [this](HttpRequest request, std::shared_ptr<Cancellation>) {
           return this->Handle(std::move(request));
         });
@@ -130,6 +132,26 @@
   BOOST_TEST(connection.EndsCleanly());
 }
 
+// Such a connection was closed without a response.
+BOOST_AUTO_TEST_CASE(connection_over_the_limit_replaces_the_longest_idle_one) {
+  ServerFixture server(2);
+  server.Run();
+  Connection older(server.ServerAddress());
+  older.SendRequest("/older");
+  BOOST_REQUIRE(older.ReadResponse());
+  Connection newer(server.ServerAddress());
+  newer.SendRequest("/newer");
+  BOOST_REQUIRE(newer.ReadResponse());
+  Connection third(server.ServerAddress());
+  third.SendRequest("/third");
+  const std::optional<HttpResponse> response = third.ReadResponse();
+  BOOST_REQUIRE(response);
+  BOOST_TEST(response->body() == "/third");
+  BOOST_TEST(older.EndsCleanly());
+  newer.SendRequest("/again");
+  BOOST_TEST(newer.ReadResponse().has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace daisywinch::test
