Answer all requests that are taken during a planned stop

What callers saw: after SIGTERM, kept connections went on getting keep-alive responses. Besides, the gate refused all calls from the signal on, 3 to 5.7 s before the process ended, so that replacing a fleet in turn left the callers without targets.

Cause: a stop waited until no request was in progress, and nothing saw to it that this ever came; the check ran on another thread than the requests. Class of fault: a wait for an event that the waiting side has to bring about itself.

Change: for 3 s, until callers that can have left, the node serves as before; each response ends its connection. Then the gate refuses new calls and the ingress new root requests, saying when to return; nested calls of requests in progress are served until the gate is idle. Then HttpServer::ShutDown() accepts what waits in the accept queue, answers each request of which a byte has arrived, closes idle connections, and cancels what is left 0.1 s before the deadline, so that it too gets a response. All of that runs on the thread of the requests. Relays are told of the leaving when the node refuses requests, as its traffic counts until then. The handle interface, which refuses from the signal on, ends its connections the same way.

With the nodes of all four planned_stop tests fail: requests_taken_during_a_stop_are_answered (8 requests ran and got no response), second_stop_signal_ends_no_request (4), overlapping_restarts_lose_no_request, and stopping_node_serves_until_its_callers_have_left (refused from the signal on). They pass with this change, as do mesh_path and fault_soak.

The callers and the seeds of the soak moved to tests/support, as both soaks use them.

--- a/src/node/mesh_ingress.cc
+++ b/src/node/mesh_ingress.cc
@@ -30,6 +30,9 @@
 constexpr Duration kDefaultObjective = std::chrono::seconds(1);
 /// Retry delay while this node has no configuration.
 constexpr Duration kNotReadyRetryDelay = std::chrono::milliseconds(400);
+/// Retry delay while this node shuts down: the time until the process that
+/// replaces it is ready.
+constexpr Duration kDrainingRetryDelay = std::chrono::milliseconds(1500);
 
 /// Minimum change of an admitted fraction that is logged, and minimum interval
 /// between logged changes.
@@ -190,6 +193,9 @@
   call.priority = call.route->priority;
   // Targets send nested calls without an API key.
   call.is_root = customer != nullptr || !call.route->open;
+  if (call.is_root && this->is_draining) {
+    return RefusalReason::kDraining;
+  }
   if (customer != nullptr) {
     call.customer = customer->name;
     call.priority =
@@ -337,6 +343,9 @@
   if (reason == RefusalReason::kNotReady || call.route == nullptr) {
     return kNotReadyRetryDelay;
   }
+  if (this->is_draining) {
+    return kDrainingRetryDelay;
+  }
   const Duration objective = ObjectiveOf(*call.route);
   if (reason == RefusalReason::kOverRate) {
     return this->return_schedule.DelayOverRate(objective);
--- a/src/node/mesh_ingress.h
+++ b/src/node/mesh_ingress.h
@@ -55,6 +55,10 @@
   Awaitable<HttpResponse> Handle(HttpRequest request,
                                  std::shared_ptr<Cancellation> cancellation);
 
+  /// Refuses new root requests from now on. Nested calls are still accepted, as
+  /// they belong to requests in progress.
+  void Drain() { this->is_draining = true; }
+
   /// Applies the combined traffic of all other nodes. Its counts continue those
   /// of the previous update.
   void ApplyUpdate(TrafficSum update);
@@ -138,6 +142,7 @@
   std::unordered_map<std::string, RetryBudget> leaf_retry_budgets;
   CallMetrics metrics;
   LogRateLimiter log_limiter;
+  bool is_draining = false;
 };
 
 }  // namespace daisywinch
--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -11,6 +11,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
+#include "node/shutdown.h"
 #include "state/event_log.h"
 #include "state/key_digest.h"
 
@@ -26,11 +27,13 @@
 /// Change of the target's usable slots since the last update, as a fraction of
 /// them, that makes an update urgent.
 constexpr double kUrgentSlotChange = 0.2;
-constexpr std::chrono::milliseconds kDrainCheckInterval{20};
-/// Minimum time from the stop signal to exit, during which callers may still
-/// send requests: the platform checks readiness once a second and stops traffic
-/// after two failed checks.
-constexpr std::chrono::milliseconds kMinDrainTime{3000};
+/// Time from the stop signal for which requests are served as before: the
+/// platform checks readiness once a second and stops traffic after two failed
+/// checks.
+constexpr std::chrono::milliseconds kMaxServingTime{3000};
+/// The same as a fraction of the time until the process exits, if that is
+/// shorter. The rest is for the requests in progress.
+constexpr double kServingFraction = 0.6;
 /// Time before the end of the grace period at which the process exits even if
 /// requests are in progress.
 constexpr std::chrono::milliseconds kGraceMargin{300};
@@ -228,7 +231,7 @@
     Timer timer(this->control_context, kUpdateCheckInterval);
     ErrorCode ignored;
     co_await timer.async_wait(Await(ignored));
-    asio::post(this->traffic_context, [this] { this->CollectLocalUpdate(); });
+    asio::post(this->traffic_context, [this] { this->SendLocalUpdateIfDue(); });
     this->update_exchange.RelayUpdates(this->draining);
     this->CheckIsolation();
   }
@@ -244,25 +247,29 @@
   }
 }
 
-void MeshNode::CollectLocalUpdate() {
+void MeshNode::SendLocalUpdateIfDue() {
   const TimePoint now = this->clock.Now();
-  NodeLoad load;
-  load.slots = this->gate.UsableSlots();
+  const double slots = this->gate.UsableSlots();
   const bool is_urgent =
       this->ingress.HasUrgentUpdate() ||
-      std::abs(load.slots - this->sent_slots) >
-          kUrgentSlotChange * std::max(load.slots, this->sent_slots);
-  if (now - this->update_sent_at < kUpdateInterval && !is_urgent) {
-    return;
+      std::abs(slots - this->sent_slots) >
+          kUrgentSlotChange * std::max(slots, this->sent_slots);
+  if (now - this->update_sent_at >= kUpdateInterval || is_urgent) {
+    this->SendLocalUpdate();
   }
-  this->update_sent_at = now;
+}
+
+void MeshNode::SendLocalUpdate() {
+  NodeLoad load;
+  load.slots = this->gate.UsableSlots();
+  this->update_sent_at = this->clock.Now();
   this->sent_slots = load.slots;
   protocol::NodeNews update;
   EncodeTrafficUpdate(this->ingress.MakeUpdate(std::move(load)), update);
   asio::post(this->control_context, [this,
                                      update = std::move(update)]() mutable {
     update.set_configuration_version(this->directory.ConfigurationVersion());
-    update.set_draining(this->draining);
+    update.set_draining(this->is_refusing);
     this->update_exchange.SendLocalUpdate(std::move(update));
   });
 }
@@ -272,26 +279,39 @@
   co_await this->signals.async_wait(Await(error));
   LogEvent(EventId::kShutdownStarted, {{"vm", this->settings.vm}});
   this->draining = true;
-  this->gate.Drain();
   const TimePoint started = this->clock.Now();
-  const TimePoint drain_deadline =
-      started + this->settings.bounds.grace - kGraceMargin;
-  const auto is_idle = [this] {
-    return this->gate.CallsInProgress() == 0 &&
-           this->call_server.CallsInProgress() == 0 &&
-           this->caller_server.RequestsInProgress() == 0;
-  };
-  while (this->clock.Now() < drain_deadline &&
-         (!is_idle() || this->clock.Now() < started + kMinDrainTime)) {
-    Timer timer(this->control_context, kDrainCheckInterval);
-    co_await timer.async_wait(Await(error));
-  }
-  if (!is_idle()) {
-    LogEvent(EventId::kShutdownTimedOut, {});
-  }
-  LogEvent(EventId::kShutdownFinished, {{"vm", this->settings.vm}});
+  const Duration time_left = this->settings.bounds.grace - kGraceMargin;
+  const Duration serving_time = std::min<Duration>(
+      kMaxServingTime,
+      std::chrono::duration_cast<Duration>(time_left * kServingFraction));
+  co_await asio::co_spawn(
+      this->traffic_context,
+      this->ShutDownTraffic(started + serving_time, started + time_left),
+      asio::use_awaitable);
+  LogShutdownEnd(this->settings.vm, this->gate.CallsInProgress(),
+                 this->caller_server.RequestsInProgress());
   this->traffic_context.stop();
   this->control_context.stop();
 }
 
+Awaitable<> MeshNode::ShutDownTraffic(TimePoint refuse_from,
+                                      TimePoint deadline) {
+  this->caller_server.AnnounceClose();
+  ErrorCode ignored;
+  Timer serving_end(this->traffic_context, refuse_from);
+  co_await serving_end.async_wait(Await(ignored));
+  this->is_refusing = true;
+  this->gate.Drain();
+  this->ingress.Drain();
+  this->SendLocalUpdate();
+  const auto is_gate_busy = [this] {
+    return this->gate.CallsInProgress() > 0 ||
+           this->call_server.CallsInProgress() > 0;
+  };
+  // Until then, the local target may make nested calls.
+  co_await WaitWhileBusy(this->traffic_context, is_gate_busy,
+                         deadline - kCallerShutdownTime);
+  co_await this->caller_server.ShutDown(deadline);
+}
+
 }  // namespace daisywinch
--- a/src/node/mesh_node.h
+++ b/src/node/mesh_node.h
@@ -37,14 +37,19 @@
   bool Listen();
   void PublishView();
   Awaitable<> ShutDownOnSignal();
+  /// Serves until callers have had the time to move to other nodes, then
+  /// refuses new requests and returns when all others have their responses, or
+  /// at the deadline. Runs on the traffic thread.
+  Awaitable<> ShutDownTraffic(TimePoint refuse_from, TimePoint deadline);
   /// Periodically sends this node's updates and, as a relay, the sums of other
   /// nodes' updates.
   Awaitable<> SendUpdates();
   /// Updates `is_isolated` and logs a change.
   void CheckIsolation();
-  /// Makes and sends this node's update if it is due or urgent. Runs on the
-  /// traffic thread.
-  void CollectLocalUpdate();
+  /// Sends this node's update if it is due or urgent. Runs on the traffic
+  /// thread, like SendLocalUpdate().
+  void SendLocalUpdateIfDue();
+  void SendLocalUpdate();
   Awaitable<HttpResponse> HandleReadyRequest();
   Awaitable<HttpResponse> HandleOperatorRequest(HttpRequest request);
   bool IsReady() const;
@@ -72,7 +77,10 @@
   TimePoint update_sent_at;
   double sent_slots = 0;
   asio::signal_set signals;
+  /// Callers and relays are told to use other nodes.
   std::atomic<bool> draining = false;
+  /// New requests are refused.
+  std::atomic<bool> is_refusing = false;
 };
 
 }  // namespace daisywinch
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
+#include "node/shutdown.h"
 #include "state/event_log.h"
 #include "state/key_digest.h"
 #include "transport/psk_context.h"
@@ -17,7 +18,6 @@
 /// Maximum size of the headers and message fields in the frame of a call, in
 /// addition to the body.
 constexpr std::size_t kFrameOverheadBytes = 64 * 1024;
-constexpr std::chrono::milliseconds kDrainCheckInterval{20};
 constexpr char kConfigurationValue[] = "daisywinch.configuration";
 constexpr char kVmListValue[] = "vms";
 constexpr std::string_view kPlatformSource = "platform";
@@ -187,21 +187,22 @@
   this->ingress.Drain();
   this->gate.Drain();
   this->control.Drain();
+  asio::post(this->ingress_context,
+             [this] { this->caller_server.AnnounceClose(); });
   const TimePoint deadline =
       this->clock.Now() + this->settings.shutdown_timeout;
-  const auto is_idle = [this] {
-    return this->gate.CallsInProgress() == 0 &&
-           this->call_server.CallsInProgress() == 0 &&
-           this->caller_server.RequestsInProgress() == 0;
+  const auto is_gate_busy = [this] {
+    return this->gate.CallsInProgress() > 0 ||
+           this->call_server.CallsInProgress() > 0;
   };
-  while (!is_idle() && this->clock.Now() < deadline) {
-    Timer timer(this->control_context, kDrainCheckInterval);
-    co_await timer.async_wait(Await(error));
-  }
-  if (!is_idle()) {
-    LogEvent(EventId::kShutdownTimedOut, {});
-  }
-  LogEvent(EventId::kShutdownFinished, {{"vm", this->settings.vm}});
+  // Until then, the local target may make nested calls.
+  co_await WaitWhileBusy(this->control_context, is_gate_busy,
+                         deadline - kCallerShutdownTime);
+  co_await asio::co_spawn(this->ingress_context,
+                          this->caller_server.ShutDown(deadline),
+                          asio::use_awaitable);
+  LogShutdownEnd(this->settings.vm, this->gate.CallsInProgress(),
+                 this->caller_server.RequestsInProgress());
   this->ingress_context.stop();
   this->gate_context.stop();
   this->control_context.stop();
--- a/src/state/event_log.cc
+++ b/src/state/event_log.cc
@@ -37,14 +37,17 @@
                      "accepts requests."},
     EventDescription{EventId::kShutdownStarted, kInformation,
                      "shutdown-started",
-                     "The node accepts no new requests and completes those in "
+                     "The node was told to stop. It closes connections after "
+                     "their next response, refuses new requests once callers "
+                     "have had time to leave, and completes those in "
                      "progress."},
     EventDescription{EventId::kShutdownFinished, kInformation,
                      "shutdown-finished",
                      "No request is in progress; the process exits."},
     EventDescription{EventId::kShutdownTimedOut, kWarning, "shutdown-timed-out",
                      "Requests were still in progress when the shutdown "
-                     "timeout expired."},
+                     "timeout expired: calls at the gate, requests at the "
+                     "ingress."},
     EventDescription{EventId::kPortUnavailable, kError, "port-unavailable",
                      "The node cannot listen on an address of its settings."},
     EventDescription{EventId::kNodeIsolated, kWarning, "node-isolated",
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -23,6 +24,13 @@
 /// Maximum time for which a connection that this server closes is kept for the
 /// caller to read the response.
 constexpr std::chrono::seconds kLingerTime{1};
+/// Time in which the first request must begin to arrive on a connection that is
+/// new when the server shuts down.
+constexpr std::chrono::milliseconds kFirstRequestTime{200};
+/// Time before the deadline of a shutdown at which the requests in progress are
+/// cancelled.
+constexpr std::chrono::milliseconds kCancellationMargin{100};
+constexpr std::chrono::milliseconds kShutdownCheckInterval{10};
 
 /// The refusal reason for a request that could not be parsed; nothing if no
 /// response can be sent for the error.
@@ -60,6 +68,8 @@
   boost::beast::tcp_stream stream;
   boost::beast::flat_buffer buffer;
   State state = State::kFirstRequest;
+  /// Cancels the request in progress; null if there is none.
+  std::shared_ptr<Cancellation> cancellation;
 };
 
 HttpServer::HttpServer(asio::io_context& context,
@@ -81,6 +91,32 @@
   return error;
 }
 
+Awaitable<> HttpServer::ShutDown(TimePoint deadline) {
+  using State = Connection::State;
+  const TimePoint started = BootTime::now();
+  this->AnnounceClose();
+  // Not limited: closing the socket would reset those that are left.
+  this->AcceptQueued(std::numeric_limits<std::size_t>::max());
+  ErrorCode ignored;
+  this->acceptor.close(ignored);
+  while (!this->connections.empty() && BootTime::now() < deadline) {
+    const TimePoint now = BootTime::now();
+    for (const std::shared_ptr<Connection>& connection : this->connections) {
+      const bool is_idle = connection->state == State::kNextRequest ||
+                           (connection->state == State::kFirstRequest &&
+                            now >= started + kFirstRequestTime);
+      if (is_idle && !connection->HasUnreadBytes()) {
+        connection->stream.cancel();
+      } else if (connection->cancellation &&
+                 now >= deadline - kCancellationMargin) {
+        connection->cancellation->Cancel();
+      }
+    }
+    Timer timer(this->context, kShutdownCheckInterval);
+    co_await timer.async_wait(Await(ignored));
+  }
+}
+
 Awaitable<> HttpServer::Accept() {
   while (this->acceptor.is_open()) {
     ErrorCode error;
@@ -145,15 +181,17 @@
     }
     ++this->requests_in_progress;
     keep_alive = request.keep_alive();
-    const std::shared_ptr<Cancellation> cancellation =
-        std::make_shared<Cancellation>();
-    asio::co_spawn(this->context,
-                   this->WatchForDisconnect(connection, cancellation),
-                   asio::detached);
+    connection->cancellation = std::make_shared<Cancellation>();
+    asio::co_spawn(
+        this->context,
+        this->WatchForDisconnect(connection, connection->cancellation),
+        asio::detached);
     HttpResponse response =
-        co_await this->handler(std::move(request), cancellation);
+        co_await this->handler(std::move(request), connection->cancellation);
+    connection->cancellation.reset();
     ErrorCode ignored;
     connection->stream.socket().cancel(ignored);
+    keep_alive = keep_alive && !this->is_closing_announced;
     response.keep_alive(keep_alive);
     const bool was_written =
         co_await this->Write(*connection, std::move(response));
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -34,7 +34,7 @@
 class HttpServer {
  public:
   /// Produces the response to one request. The cancellation fires when the
-  /// caller closes the connection.
+  /// caller closes the connection, and shortly before a shutdown ends.
   using Handler =
       std::function<Awaitable<HttpResponse>(HttpRequest,
                                             std::shared_ptr<Cancellation>)>;
@@ -46,6 +46,19 @@
   /// Starts to listen; returns the error if the address cannot be bound.
   ErrorCode Listen(const Address& address);
 
+  /// From now on closes each connection after its next response, which says so.
+  /// Idle connections stay open for their next request.
+  void AnnounceClose() { this->is_closing_announced = true; }
+
+  /// Stops listening and returns when all connections are closed, or at the
+  /// deadline.
+  ///
+  /// Connections that wait in the accept queue are accepted first. Each request
+  /// of which the first byte has arrived is handled and gets its response;
+  /// connections without one are closed. Requests that are still in progress
+  /// shortly before the deadline are cancelled, so that they get a response.
+  Awaitable<> ShutDown(TimePoint deadline);
+
   /// Number of requests whose response has not been written yet. Thread-safe.
   int RequestsInProgress() const { return this->requests_in_progress; }
 
@@ -86,6 +99,7 @@
   /// Open connections; idle ones in the order in which they became idle.
   ConnectionList connections;
   std::atomic<int> requests_in_progress = 0;
+  bool is_closing_announced = false;
 };
 
 }  // namespace daisywinch
--- a/tests/end_to_end/fault_soak_test.cc
+++ b/tests/end_to_end/fault_soak_test.cc
@@ -9,9 +9,6 @@
 //
 // To run other seeds, set for example DAISYWINCH_SOAK_SEEDS=100-149. When a
 // seed fails, add it to kDefaultSeeds with a comment that states the cause.
-#include <sys/socket.h>
-#include <sys/time.h>
-
 #include <csignal>
 #include <cstdlib>
 #include <map>
@@ -21,10 +18,11 @@
 #include <thread>
 #include <vector>
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "support/keep_alive_caller.h"
 #include "support/mesh_fleet.h"
+#include "support/soak_seeds.h"
 #include "support/test_fleet.h"
 
 namespace daisywinch::test {
@@ -37,71 +35,10 @@
 /// Time to recover after the last fault: probes, backoff and traffic updates
 /// take about a second each, the store two seconds.
 constexpr milliseconds kRecoveryTime{4000};
-constexpr milliseconds kAttemptTimeout{2500};
 constexpr int kCallerCount = 4;
 constexpr int kRecoveryRequestCount = 40;
 /// Seeds that run by default, also in CI.
-constexpr std::uint64_t kDefaultSeeds[] = {1, 2};
-
-/// A caller's attempt and its result. Status 0 means that there was no
-/// response.
-struct Attempt {
-  std::string id;
-  bool is_booking = false;
-  unsigned status = 0;
-  bool has_own_response = true;
-};
-
-/// A client that reuses one connection for its requests until it fails or the
-/// node closes it.
-class KeepAliveCaller {
- public:
-  explicit KeepAliveCaller(const Address& address) : address(address) {}
-
-  Attempt Send(const std::string& id, bool is_booking) {
-    Attempt attempt = {id, is_booking};
-    ErrorCode error;
-    if (!this->socket.is_open()) {
-      this->buffer.clear();
-      this->socket.connect(ToEndpoint(this->address), error);
-      const timeval timeout = {3, 0};
-      ::setsockopt(this->socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO,
-                   &timeout, sizeof(timeout));
-    }
-    Call call;
-    call.method = is_booking ? "POST" : "GET";
-    call.path = (is_booking ? "/book/" : "/look/") + id;
-    call.key = MeshFleet::kSchoolKey;
-    http::response<http::string_body> response;
-    if (!error) {
-      http::write(this->socket,
-                  MakeRequest(AddAttemptHeaders(call, id, kAttemptTimeout)),
-                  error);
-    }
-    if (!error) {
-      http::read(this->socket, this->buffer, response, error);
-    }
-    if (error) {
-      this->socket.close(error);
-      return attempt;
-    }
-    attempt.status = response.result_int();
-    if (attempt.status == 200) {
-      attempt.has_own_response = response.body() == "ran " + call.path &&
-                                 response["X-Daisywinch-Attempt-Id"] == id;
-    }
-    if (!response.keep_alive()) {
-      this->socket.close(error);
-    }
-    return attempt;
-  }
-
- private:
-  Address address;
-  asio::io_context context{1};
-  Tcp::socket socket{this->context};
-  boost::beast::flat_buffer buffer;
-};
+const std::vector<std::uint64_t> kDefaultSeeds = {1, 2};
 
 /// A fleet under load with random faults, which are determined by a seed and
 /// may overlap.
@@ -315,27 +252,12 @@
   std::vector<MeshVm*> paused_vms;
 };
 
-std::vector<std::uint64_t> ChooseSeeds() {
-  const char* range = std::getenv("DAISYWINCH_SOAK_SEEDS");
-  if (range == nullptr) {
-    return {std::begin(kDefaultSeeds), std::end(kDefaultSeeds)};
-  }
-  const std::string text = range;
-  const std::size_t dash = text.find('-');
-  std::vector<std::uint64_t> seeds;
-  for (std::uint64_t seed = std::stoull(text);
-       seed <= std::stoull(text.substr(dash + 1)); ++seed) {
-    seeds.push_back(seed);
-  }
-  return seeds;
-}
-
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(fault_soak)
 
 BOOST_AUTO_TEST_CASE(guarantees_hold_under_random_faults) {
-  for (const std::uint64_t seed : ChooseSeeds()) {
+  for (const std::uint64_t seed : ChooseSeeds(kDefaultSeeds)) {
     BOOST_TEST_CONTEXT("seed " << seed) {
       FaultSoak soak(seed);
       soak.Run();
--- /dev/null
+++ b/tests/end_to_end/planned_stop_test.cc
@@ -0,0 +1,220 @@
+// Stops nodes of a mesh fleet by signal while callers go on using their open
+// connections, with real processes. Each request that a node has read must get
+// a response.
+#include <csignal>
+#include <map>
+#include <mutex>
+#include <random>
+#include <set>
+#include <thread>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "support/keep_alive_caller.h"
+#include "support/mesh_fleet.h"
+#include "support/soak_seeds.h"
+#include "support/test_fleet.h"
+
+namespace daisywinch::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A request may stay without a response only if the node closes the connection
+/// within this time after its last byte: the request and the end of the
+/// connection have then crossed.
+constexpr milliseconds kMaxCrossingTime{200};
+constexpr std::chrono::seconds kExitTimeout{8};
+/// Seeds that run by default, also in CI.
+const std::vector<std::uint64_t> kDefaultSeeds = {1, 2};
+
+/// Callers that send requests to one node one after the other, each on its own
+/// connection.
+class CallerGroup {
+ public:
+  CallerGroup(const MeshVm& vm, int count, milliseconds pause) {
+    for (int caller = 0; caller < count; ++caller) {
+      this->threads.emplace_back(
+          [this, &vm, caller, pause] { this->Run(vm, caller, pause); });
+    }
+  }
+
+  /// Stops the callers and returns their attempts.
+  std::vector<Attempt> Stop() {
+    this->is_stopping = true;
+    for (std::thread& thread : this->threads) {
+      thread.join();
+    }
+    this->threads.clear();
+    return this->attempts;
+  }
+
+  ~CallerGroup() { this->Stop(); }
+  CallerGroup(const CallerGroup&) = delete;
+  CallerGroup& operator=(const CallerGroup&) = delete;
+
+ private:
+  void Run(const MeshVm& vm, int caller, milliseconds pause) {
+    KeepAliveCaller keep_alive_caller(vm.caller_address);
+    for (int count = 0; !this->is_stopping; ++count) {
+      const std::string id =
+          vm.name + "-" + std::to_string(caller) + "-" + std::to_string(count);
+      const Attempt attempt = keep_alive_caller.Send(id, count % 2 == 0);
+      {
+        const std::lock_guard lock(this->mutex);
+        this->attempts.push_back(attempt);
+      }
+      std::this_thread::sleep_for(attempt.status == 0 ? milliseconds(20)
+                                                      : pause);
+    }
+  }
+
+  std::atomic<bool> is_stopping = false;
+  std::mutex mutex;
+  std::vector<Attempt> attempts;
+  std::vector<std::thread> threads;
+};
+
+struct StopFixture {
+  StopFixture() {
+    this->fleet.AddVm("east", "front");
+    this->fleet.AddVm("west", "front");
+    this->fleet.AddVm("east", "back");
+    this->fleet.Start();
+  }
+
+  MeshVm& Vm(int index) { return *this->fleet.Vms()[index]; }
+
+  void SetServiceTime(milliseconds time) {
+    for (const std::unique_ptr<MeshVm>& vm : this->fleet.Vms()) {
+      this->fleet.SetTargetBehaviour(
+          *vm, "service_ms=" + std::to_string(time.count()));
+    }
+  }
+
+  /// Number of runs of each attempt at the targets.
+  std::map<std::string, int> CountRuns() {
+    std::map<std::string, int> runs;
+    for (const std::unique_ptr<MeshVm>& vm : this->fleet.Vms()) {
+      for (const boost::json::value& run : this->fleet.GetRuns(*vm)) {
+        ++runs[std::string(
+            run.at("headers").at("X-Daisywinch-Attempt-Id").as_string())];
+      }
+    }
+    return runs;
+  }
+
+  /// Checks that no request was lost, repeated or answered falsely. Returns the
+  /// number of served requests.
+  int CheckAttempts(const std::vector<Attempt>& attempts) {
+    std::map<std::string, int> runs = this->CountRuns();
+    int served = 0;
+    for (const Attempt& attempt : attempts) {
+      const int count = runs[attempt.id];
+      served += attempt.status == 200 ? 1 : 0;
+      BOOST_TEST(attempt.has_own_response,
+                 attempt.id << " got the response of another attempt");
+      if (attempt.was_sent && attempt.status == 0) {
+        BOOST_TEST(count == 0, attempt.id << " ran and got no response");
+        BOOST_TEST((attempt.waited <= kMaxCrossingTime),
+                   attempt.id << " got no response");
+      }
+      if (attempt.is_booking) {
+        BOOST_TEST(count <= 1, attempt.id << " ran more than once");
+        BOOST_TEST(!(attempt.status == 503 && count > 0),
+                   attempt.id << " ran although it was refused");
+      }
+    }
+    return served;
+  }
+
+  /// Waits until a node has exited in the time that the platform allows.
+  void CheckExit(MeshVm& vm) {
+    const std::optional<int> status =
+        vm.node_process->WaitForExit(kExitTimeout);
+    BOOST_TEST((status == 0), vm.name << " did not shut down");
+  }
+
+  MeshFleet fleet;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(planned_stop, StopFixture)
+
+// Callers that have no other node go on sending until the process is gone.
+BOOST_AUTO_TEST_CASE(requests_taken_during_a_stop_are_answered) {
+  this->SetServiceTime(milliseconds(300));
+  CallerGroup callers(this->Vm(0), 8, milliseconds(0));
+  std::this_thread::sleep_for(milliseconds(300));
+  this->Vm(0).node_process->Signal(SIGTERM);
+  this->CheckExit(this->Vm(0));
+  this->CheckAttempts(callers.Stop());
+}
+
+// Other nodes have no other target of the service.
+BOOST_AUTO_TEST_CASE(stopping_node_serves_until_its_callers_have_left) {
+  this->Vm(2).node_process->Signal(SIGTERM);
+  const TimePoint started = BootTime::now();
+  int count = 0;
+  while (BootTime::now() - started < milliseconds(2000)) {
+    Call call;
+    call.path = "/stock/" + std::to_string(count++);
+    BOOST_TEST(this->fleet.SendAttempt(this->Vm(0), call).result_int() == 200);
+  }
+  this->CheckExit(this->Vm(2));
+}
+
+BOOST_AUTO_TEST_CASE(second_stop_signal_ends_no_request) {
+  this->SetServiceTime(milliseconds(800));
+  CallerGroup callers(this->Vm(0), 4, milliseconds(0));
+  for (int count = 0; count < 5; ++count) {
+    std::this_thread::sleep_for(milliseconds(200));
+    this->Vm(0).node_process->Signal(count % 2 == 0 ? SIGTERM : SIGINT);
+  }
+  this->CheckExit(this->Vm(0));
+  this->CheckAttempts(callers.Stop());
+}
+
+BOOST_AUTO_TEST_CASE(overlapping_restarts_lose_no_request) {
+  for (const std::uint64_t seed : ChooseSeeds(kDefaultSeeds)) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      std::mt19937_64 random(seed);
+      const auto random_time = [&random](int min, int max) {
+        return milliseconds(
+            std::uniform_int_distribution<int>(min, max)(random));
+      };
+      StopFixture fixture;
+      fixture.SetServiceTime(random_time(1, 400));
+      std::vector<std::unique_ptr<CallerGroup>> groups;
+      for (const std::unique_ptr<MeshVm>& vm : fixture.fleet.Vms()) {
+        const int count = std::uniform_int_distribution<int>(1, 6)(random);
+        groups.push_back(
+            std::make_unique<CallerGroup>(*vm, count, random_time(0, 20)));
+      }
+      for (int round = 0; round < 2; ++round) {
+        for (const std::unique_ptr<MeshVm>& vm : fixture.fleet.Vms()) {
+          std::this_thread::sleep_for(random_time(0, 1500));
+          vm->node_process->Signal(SIGTERM);
+        }
+        for (const std::unique_ptr<MeshVm>& vm : fixture.fleet.Vms()) {
+          fixture.CheckExit(*vm);
+          fixture.fleet.StartNode(*vm);
+        }
+      }
+      std::this_thread::sleep_for(milliseconds(1500));
+      std::vector<Attempt> attempts;
+      for (const std::unique_ptr<CallerGroup>& group : groups) {
+        const std::vector<Attempt> some = group->Stop();
+        attempts.insert(attempts.end(), some.begin(), some.end());
+      }
+      BOOST_TEST(fixture.CheckAttempts(attempts) > 0);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace daisywinch::test
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -1,8 +1,13 @@
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -21,8 +26,8 @@
 /// Larger than what the server reads at once.
 constexpr std::size_t kPipelinedSize = std::size_t{64} * 1024;
 
-/// A server whose responses repeat the path of the request. The path /large is
-/// answered with a large body.
+/// A server whose responses repeat the path of the request. The path /wait is
+/// answered when the request is cancelled, /large with a large body.
 class ServerFixture {
  public:
   explicit ServerFixture(std::size_t max_connections = 100) {
@@ -30,8 +35,9 @@
     limits.max_connections = max_connections;
     this->server = std::make_unique<HttpServer>(
         this->context, limits,
-        [this](HttpRequest request, std::shared_ptr<Cancellation>) {
-          return this->Handle(std::move(request));
+        [this](HttpRequest request,
+               std::shared_ptr<Cancellation> cancellation) {
+          return this->Handle(std::move(request), std::move(cancellation));
         });
     for (int port = 20000; port < 30000; ++port) {
       this->address = {"127.0.0.1", static_cast<std::uint16_t>(port)};
@@ -55,13 +61,33 @@
     this->thread = std::thread([this] { this->context.run(); });
   }
 
+  /// Starts a shutdown; may be called before Run().
+  void ShutDown(Duration timeout) {
+    asio::post(this->context, [this, timeout] {
+      asio::co_spawn(this->context,
+                     this->server->ShutDown(BootTime::now() + timeout),
+                     asio::detached);
+    });
+  }
+
+  void AnnounceClose() {
+    asio::post(this->context, [this] { this->server->AnnounceClose(); });
+  }
+
   const Address& ServerAddress() const { return this->address; }
 
  private:
-  Awaitable<HttpResponse> Handle(HttpRequest request) {
+  Awaitable<HttpResponse> Handle(HttpRequest request,
+                                 std::shared_ptr<Cancellation> cancellation) {
     HttpResponse response(http::status::ok, 11);
     response.body() = std::string(request.target());
-    if (request.target() == "/large") {
+    if (request.target() == "/wait") {
+      const std::shared_ptr<Timer> timer =
+          std::make_shared<Timer>(this->context, std::chrono::seconds(20));
+      cancellation->SetAction([timer] { timer->cancel(); });
+      ErrorCode ignored;
+      co_await timer->async_wait(Await(ignored));
+    } else if (request.target() == "/large") {
       response.body() = std::string(kLargeBodySize, 'x');
     }
     response.prepare_payload();
@@ -117,6 +143,66 @@
 
 BOOST_AUTO_TEST_SUITE(http_server)
 
+BOOST_AUTO_TEST_CASE(connection_ends_after_the_next_response_when_announced) {
+  ServerFixture server;
+  server.Run();
+  Connection connection(server.ServerAddress());
+  connection.SendRequest("/first");
+  std::optional<HttpResponse> response = connection.ReadResponse();
+  BOOST_REQUIRE(response);
+  BOOST_TEST(response->keep_alive());
+  server.AnnounceClose();
+  std::this_thread::sleep_for(milliseconds(50));
+  connection.SendRequest("/second");
+  response = connection.ReadResponse();
+  BOOST_REQUIRE(response);
+  BOOST_TEST(response->body() == "/second");
+  BOOST_TEST(!response->keep_alive());
+  BOOST_TEST(connection.EndsCleanly());
+}
+
+BOOST_AUTO_TEST_CASE(requests_in_the_accept_queue_are_answered) {
+  ServerFixture server;
+  std::vector<std::unique_ptr<Connection>> connections;
+  for (int count = 0; count < 20; ++count) {
+    connections.push_back(std::make_unique<Connection>(server.ServerAddress()));
+    connections.back()->SendRequest("/" + std::to_string(count));
+  }
+  server.ShutDown(std::chrono::seconds(5));
+  server.Run();
+  for (int count = 0; count < 20; ++count) {
+    const std::optional<HttpResponse> response =
+        connections[count]->ReadResponse();
+    BOOST_REQUIRE(response);
+    BOOST_TEST(response->body() == "/" + std::to_string(count));
+    BOOST_TEST(connections[count]->EndsCleanly());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(request_that_arrives_in_parts_is_answered) {
+  ServerFixture server;
+  server.Run();
+  Connection connection(server.ServerAddress());
+  connection.Write("GET /slow HTTP/1.1\r\nHo");
+  std::this_thread::sleep_for(milliseconds(50));
+  server.ShutDown(std::chrono::seconds(5));
+  std::this_thread::sleep_for(milliseconds(500));
+  connection.Write("st: a\r\n\r\n");
+  const std::optional<HttpResponse> response = connection.ReadResponse();
+  BOOST_REQUIRE(response);
+  BOOST_TEST(response->body() == "/slow");
+}
+
+BOOST_AUTO_TEST_CASE(idle_connection_ends_cleanly) {
+  ServerFixture server;
+  server.Run();
+  Connection connection(server.ServerAddress());
+  connection.SendRequest("/first");
+  BOOST_REQUIRE(connection.ReadResponse());
+  server.ShutDown(std::chrono::seconds(5));
+  BOOST_TEST(connection.EndsCleanly());
+}
+
 // Closing a connection with unread bytes resets it.
 BOOST_AUTO_TEST_CASE(response_is_complete_despite_unread_bytes_behind_it) {
   ServerFixture server;
@@ -132,6 +218,19 @@
   BOOST_TEST(connection.EndsCleanly());
 }
 
+BOOST_AUTO_TEST_CASE(request_in_progress_gets_a_response_at_the_deadline) {
+  ServerFixture server;
+  server.Run();
+  Connection connection(server.ServerAddress());
+  connection.SendRequest("/wait");
+  std::this_thread::sleep_for(milliseconds(50));
+  server.ShutDown(milliseconds(400));
+  const std::optional<HttpResponse> response = connection.ReadResponse();
+  BOOST_REQUIRE(response);
+  BOOST_TEST(response->body() == "/wait");
+  BOOST_TEST(connection.EndsCleanly());
+}
+
 // Such a connection was closed without a response.
 BOOST_AUTO_TEST_CASE(connection_over_the_limit_replaces_the_longest_idle_one) {
   ServerFixture server(2);
