Read the settings again on SIGHUP instead of ending

What callers saw: a node that got SIGHUP, which the platform sends when the settings file has changed, ended at once with status 129.

Cause: only SIGTERM and SIGINT had handlers. SIGHUP, SIGUSR1 and SIGUSR2 had their default action, which ends the process. A file that changed without a signal was never noticed.

Change: main() ignores SIGHUP, SIGUSR1, SIGUSR2 and SIGPIPE from its first line on. SettingsWatcher, one class for both interfaces, takes over SIGHUP, and compares the content of the file once a second with what was read last, from the text that the process started with on. So a change between the first reading and the handler is noticed, and a signal at any moment is either served or not needed. UpdateSettings() decides, without input or output, what takes effect: platform_address and shutdown_seconds, or platform_address and all bounds on the mesh interface. Everything else keeps its value and is named in the log (1011). first_start is ignored. A file that cannot be read or is not valid is refused with its errors, at most 20 in one line (1010), and the settings in force stay; each content is logged once, each SIGHUP always. The end of a stop that has begun does not move. ReadFile() and the parsing of a document moved from the commands to transport/document_file, as the watcher needs them too; the node now parses the text that it read, instead of reading the file twice.

The retry budgets of known services take the new ratio, and the rate limiter is configured anew with the same configuration, so that known customers get the new margins.

Not tested with real processes: platform_address on the handle interface, and a changed retry_ratio.

--- a/src/coordination/distributed_rate_limiter.h
+++ b/src/coordination/distributed_rate_limiter.h
@@ -41,6 +41,8 @@
  public:
   explicit DistributedRateLimiter(const MeshBounds& bounds) : bounds(bounds) {}
 
+  /// Sets the bounds; those on rate and burst apply from the next Configure().
+  void SetBounds(const MeshBounds& new_bounds) { this->bounds = new_bounds; }
   /// Applies the customers' rates and bursts. Known customers keep the balance
   /// of their bucket; the bucket of a new one starts a quarter full.
   void Configure(const MeshConfiguration& configuration, TimePoint now);
--- a/src/daisywinch/commands.cc
+++ b/src/daisywinch/commands.cc
@@ -7,8 +7,8 @@
 #include <fstream>
 #include <iostream>
 #include <optional>
-#include <sstream>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -17,6 +17,7 @@
 #include "daisywinch/operator_client.h"
 #include "node/mesh_node.h"
 #include "node/node.h"
+#include "node/settings_watcher.h"
 #include "state/configuration.h"
 #include "state/configuration_difference.h"
 #include "state/configuration_generator.h"
@@ -25,6 +26,7 @@
 #include "state/mesh_settings.h"
 #include "state/object_reader.h"
 #include "state/settings.h"
+#include "transport/document_file.h"
 
 ABSL_FLAG(std::string, settings, "", "file with the settings of a node");
 ABSL_FLAG(std::string,
@@ -55,17 +57,6 @@
 
 constexpr int kKeyBytes = 24;
 
-std::optional<std::string> ReadFile(const std::string& name) {
-  std::ifstream file(name, std::ios::binary);
-  if (!file) {
-    std::cerr << name << ": cannot be read; check the name and its rights\n";
-    return std::nullopt;
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 /// Writes a file atomically: writes a temporary file and renames it. Writes to
 /// standard output if the name is empty.
 bool WriteFile(const std::string& name, const std::string& text) {
@@ -94,15 +85,11 @@
     const std::string& name,
     std::optional<Document> (*read)(const boost::json::value&,
                                     ValidationErrorList&)) {
-  const std::optional<std::string> text = ReadFile(name);
-  if (!text) {
-    return std::nullopt;
-  }
   ValidationErrorList errors(name);
-  const std::optional<boost::json::value> json = ParseJson(*text, errors);
+  const std::optional<std::string> text = ReadFile(name, errors);
   std::optional<Document> document;
-  if (json) {
-    document = read(*json, errors);
+  if (text) {
+    document = ParseDocument(*text, read, errors);
   }
   std::cerr << errors.ToString();
   return document;
@@ -116,25 +103,28 @@
 }
 
 /// Whether a settings file selects the mesh interface. Returns false without
-/// reporting an error if the file cannot be read or parsed; the caller reads
-/// the file again and reports it.
-bool IsMeshSettings(const std::string& name) {
-  const std::optional<std::string> text = ReadFile(name);
-  ValidationErrorList ignored(name);
-  const std::optional<boost::json::value> json =
-      text ? ParseJson(*text, ignored) : std::nullopt;
+/// reporting an error if the text is not JSON; the caller reports it.
+bool IsMeshSettings(std::string_view text) {
+  ValidationErrorList ignored("");
+  const std::optional<boost::json::value> json = ParseJson(text, ignored);
   return json && json->is_object() && json->get_object().contains("interface");
 }
 
 /// Runs a node of either interface until it is shut down.
 template <typename NodeType, typename SettingsType>
-int RunNodeWith(const std::optional<SettingsType>& settings) {
+int RunNodeWith(const SettingsFile& file,
+                std::optional<SettingsType> (*read)(const boost::json::value&,
+                                                    ValidationErrorList&)) {
+  ValidationErrorList errors(file.name);
+  const std::optional<SettingsType> settings =
+      ParseDocument(file.text, read, errors);
+  std::cerr << errors.ToString();
   if (!settings) {
     return EXIT_FAILURE;
   }
   InitializeEventLog(absl::GetFlag(FLAGS_verbose) ? Severity::kInformation
                                                   : Severity::kWarning);
-  NodeType node(*settings);
+  NodeType node(*settings, file);
   const int status = node.Run();
   FlushEventLog();
   // The log is written. Exit without running destructors, because closing
@@ -147,10 +137,15 @@
   if (!RequireFlag(name, "settings")) {
     return EXIT_FAILURE;
   }
-  if (IsMeshSettings(name)) {
-    return RunNodeWith<MeshNode>(ReadDocument(name, ReadMeshSettings));
+  ValidationErrorList errors(name);
+  const std::optional<std::string> text = ReadFile(name, errors);
+  if (!text) {
+    std::cerr << errors.ToString();
+    return EXIT_FAILURE;
   }
-  return RunNodeWith<Node>(ReadDocument(name, ReadSettings));
+  const SettingsFile file{name, *text};
+  return IsMeshSettings(*text) ? RunNodeWith<MeshNode>(file, ReadMeshSettings)
+                               : RunNodeWith<Node>(file, ReadSettings);
 }
 
 /// Prints the differences between two configurations. Returns false if the next
--- a/src/daisywinch/main.cc
+++ b/src/daisywinch/main.cc
@@ -1,3 +1,4 @@
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <string>
@@ -11,6 +12,15 @@
 
 namespace {
 
+/// Ignores the signals that do not ask the process to stop. A running node
+/// handles SIGHUP itself; until then its settings are still to be read or
+/// compared.
+void IgnoreHarmlessSignals() {
+  for (const int signal : {SIGHUP, SIGUSR1, SIGUSR2, SIGPIPE}) {
+    std::signal(signal, SIG_IGN);
+  }
+}
+
 std::string Usage() {
   std::string text =
       "daisywinch: overload control for service call graphs\n\n"
@@ -38,6 +48,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  IgnoreHarmlessSignals();
   absl::SetProgramUsageMessage(Usage());
   absl::FlagsUsageConfig usage_config;
   usage_config.version_string = [] {
--- a/src/node/mesh_ingress.cc
+++ b/src/node/mesh_ingress.cc
@@ -143,6 +143,21 @@
   }
 }
 
+void MeshIngress::SetBounds(const MeshBounds& new_bounds) {
+  this->bounds = new_bounds;
+  for (auto& [service, budget] : this->inner_retry_budgets) {
+    budget.SetRatio(this->RetryRatio(false));
+  }
+  for (auto& [service, budget] : this->leaf_retry_budgets) {
+    budget.SetRatio(this->RetryRatio(true));
+  }
+  this->rate_limiter.SetBounds(new_bounds);
+  if (this->view != nullptr && this->view->Configuration() != nullptr) {
+    this->rate_limiter.Configure(*this->view->Configuration(),
+                                 this->clock.Now());
+  }
+}
+
 void MeshIngress::RefreshView() {
   std::shared_ptr<const MeshView> newest = this->views.Load();
   if (newest == nullptr || newest == this->view) {
@@ -300,13 +315,15 @@
   std::unordered_map<std::string, RetryBudget>& budgets =
       is_leaf ? this->leaf_retry_budgets : this->inner_retry_budgets;
   return budgets
-      .try_emplace(
-          call.service,
-          RetryRatioPerLevel(this->bounds.retry_ratio, kTreeLevels, is_leaf),
-          is_leaf ? kMaxSavedLeafRetries : kMaxSavedInnerRetries)
+      .try_emplace(call.service, this->RetryRatio(is_leaf),
+                   is_leaf ? kMaxSavedLeafRetries : kMaxSavedInnerRetries)
       .first->second;
 }
 
+double MeshIngress::RetryRatio(bool is_leaf) const {
+  return RetryRatioPerLevel(this->bounds.retry_ratio, kTreeLevels, is_leaf);
+}
+
 HttpResponse MeshIngress::MakeResponse(const Call& call,
                                        protocol::CallReply reply) {
   if (reply.outcome() == protocol::OUTCOME_ANSWERED) {
--- a/src/node/mesh_ingress.h
+++ b/src/node/mesh_ingress.h
@@ -55,6 +55,8 @@
   Awaitable<HttpResponse> Handle(HttpRequest request,
                                  std::shared_ptr<Cancellation> cancellation);
 
+  /// Sets the bounds for all requests from now on.
+  void SetBounds(const MeshBounds& new_bounds);
   /// Applies the combined traffic of all other nodes. Its counts continue those
   /// of the previous update.
   void ApplyUpdate(TrafficSum update);
@@ -103,6 +105,7 @@
   /// Logs the admitted fractions that have changed.
   void LogAdmissionChanges(TimePoint now);
   RetryBudget& RetryBudgetFor(const Call& call);
+  double RetryRatio(bool is_leaf) const;
   HttpResponse MakeResponse(const Call& call, protocol::CallReply reply);
   HttpResponse MakeRefusal(const Call& call,
                            RefusalReason reason,
--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -55,7 +55,7 @@
 
 }  // namespace
 
-MeshNode::MeshNode(const MeshSettings& settings)
+MeshNode::MeshNode(const MeshSettings& settings, const SettingsFile& file)
     : settings(settings),
       incarnation(RandomNumber()),
       watcher(this->control_context,
@@ -125,12 +125,20 @@
                                      this->ingress.ApplyUpdate(std::move(sum));
                                    });
                       }),
-      signals(this->control_context, SIGTERM, SIGINT) {}
+      signals(this->control_context, SIGTERM, SIGINT),
+      settings_watcher(this->control_context,
+                       file,
+                       settings,
+                       ReadMeshSettings,
+                       [this](const MeshSettings& changed) {
+                         this->ApplySettings(changed);
+                       }) {}
 
 int MeshNode::Run() {
   if (!this->Listen()) {
     return EXIT_FAILURE;
   }
+  this->settings_watcher.Start();
   this->watcher.Start();
   this->gate.Start();
   asio::co_spawn(this->control_context, this->ShutDownOnSignal(),
@@ -166,6 +174,15 @@
          report(node_settings.news_address, this->update_exchange.Listen());
 }
 
+void MeshNode::ApplySettings(const MeshSettings& changed) {
+  this->settings.bounds = changed.bounds;
+  this->settings.platform_address = changed.platform_address;
+  this->watcher.SetStoreAddress(changed.platform_address);
+  asio::post(this->traffic_context, [this, bounds = changed.bounds] {
+    this->ingress.SetBounds(bounds);
+  });
+}
+
 void MeshNode::PublishView() {
   const bool was_ready = this->IsReady();
   const std::shared_ptr<const MeshView> view = this->directory.MakeView();
--- a/src/node/mesh_node.h
+++ b/src/node/mesh_node.h
@@ -11,6 +11,7 @@
 #include "node/gate_router.h"
 #include "node/mesh_gate.h"
 #include "node/mesh_ingress.h"
+#include "node/settings_watcher.h"
 #include "node/store_watcher.h"
 #include "node/update_exchange.h"
 #include "state/mesh_settings.h"
@@ -27,7 +28,8 @@
 /// ingress and the gate.
 class MeshNode {
  public:
-  explicit MeshNode(const MeshSettings& settings);
+  /// `file` is where the settings were read from.
+  MeshNode(const MeshSettings& settings, const SettingsFile& file);
 
   /// Runs until SIGTERM or SIGINT and the drain that follows it; returns the
   /// exit status of the process.
@@ -36,6 +38,8 @@
  private:
   bool Listen();
   void PublishView();
+  /// Puts the changed settings into force that may change in a running process.
+  void ApplySettings(const MeshSettings& changed);
   Awaitable<> ShutDownOnSignal();
   /// Periodically sends this node's updates and, as a relay, the sums of other
   /// nodes' updates.
@@ -72,6 +76,7 @@
   TimePoint update_sent_at;
   double sent_slots = 0;
   asio::signal_set signals;
+  SettingsWatcher<MeshSettings> settings_watcher;
   std::atomic<bool> draining = false;
 };
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -42,7 +42,7 @@
 
 }  // namespace
 
-Node::Node(const Settings& settings)
+Node::Node(const Settings& settings, const SettingsFile& file)
     : settings(settings),
       incarnation(MakeIncarnation()),
       handles(std::to_string(this->incarnation), this->clock),
@@ -139,12 +139,19 @@
             this->control.OfferVmList(text, kPlatformSource);
           },
           [this] { return this->control.ShouldWatch(kVmListValue); }),
-      signals(this->control_context, SIGTERM, SIGINT) {}
+      signals(this->control_context, SIGTERM, SIGINT),
+      settings_watcher(
+          this->control_context,
+          file,
+          settings,
+          ReadSettings,
+          [this](const Settings& changed) { this->ApplySettings(changed); }) {}
 
 int Node::Run() {
   if (!this->Listen() || !this->control.Start()) {
     return EXIT_FAILURE;
   }
+  this->settings_watcher.Start();
   this->rate_limiter.Start();
   this->configuration_watcher.Start();
   this->vm_list_watcher.Start();
@@ -180,6 +187,13 @@
                 this->operator_server.Listen(this->settings.operator_address));
 }
 
+void Node::ApplySettings(const Settings& changed) {
+  this->settings.shutdown_timeout = changed.shutdown_timeout;
+  this->settings.platform_address = changed.platform_address;
+  this->configuration_watcher.SetPlatformAddress(changed.platform_address);
+  this->vm_list_watcher.SetPlatformAddress(changed.platform_address);
+}
+
 Awaitable<> Node::ShutDownOnSignal() {
   ErrorCode error;
   co_await this->signals.async_wait(Await(error));
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -17,6 +17,7 @@
 #include "node/operator_service.h"
 #include "node/platform_watcher.h"
 #include "node/rate_limiter.h"
+#include "node/settings_watcher.h"
 #include "state/clock.h"
 #include "state/settings.h"
 #include "transport/call_server.h"
@@ -28,7 +29,8 @@
 /// of which runs on its own thread.
 class Node {
  public:
-  explicit Node(const Settings& settings);
+  /// `file` is where the settings were read from.
+  Node(const Settings& settings, const SettingsFile& file);
 
   /// Runs until SIGTERM or SIGINT and the drain that follows it; returns the
   /// exit status of the process.
@@ -38,6 +40,8 @@
   /// Listens on all addresses. Logs the error and returns false if one cannot
   /// be used.
   bool Listen();
+  /// Puts the changed settings into force that may change in a running process.
+  void ApplySettings(const Settings& changed);
   /// Waits for a signal, drains until no request is in progress or the shutdown
   /// timeout has passed, and stops the threads.
   Awaitable<> ShutDownOnSignal();
@@ -66,6 +70,7 @@
   PlatformWatcher configuration_watcher;
   PlatformWatcher vm_list_watcher;
   asio::signal_set signals;
+  SettingsWatcher<Settings> settings_watcher;
 };
 
 }  // namespace daisywinch
--- a/src/node/platform_watcher.h
+++ b/src/node/platform_watcher.h
@@ -30,6 +30,11 @@
   /// last one is passed to the handler.
   void Start();
 
+  /// Sets where reads are sent from the next one on.
+  void SetPlatformAddress(const Address& address) {
+    this->client.SetAddress(address);
+  }
+
   bool IsReachable() const { return this->reachable; }
   /// Number of requests sent to the platform; a long poll counts as one.
   std::uint64_t ReadCount() const { return this->client.ReadCount(); }
--- a/src/node/store_watcher.h
+++ b/src/node/store_watcher.h
@@ -49,6 +49,8 @@
       std::function<void(const protocol::StoreNews&)> forwarder) {
     this->forward_update = std::move(forwarder);
   }
+  /// Sets where requests to the store are sent from the next one on.
+  void SetStoreAddress(const Address& address) { this->store = address; }
   /// Sets whether this node is a relay, which reads the store on behalf of
   /// others and doesn't rely on the feeds of other relays.
   void SetRelay(bool enabled) { this->is_relay = enabled; }
--- a/src/state/event_log.cc
+++ b/src/state/event_log.cc
@@ -52,6 +52,17 @@
                      "and reports that it isn't ready."},
     EventDescription{EventId::kNodeRejoined, kInformation, "node-rejoined",
                      "The node reaches enough other nodes again."},
+    EventDescription{EventId::kSettingsReloaded, kInformation,
+                     "settings-reloaded",
+                     "The settings file was read again after SIGHUP or a "
+                     "change; applied names the fields that took effect."},
+    EventDescription{EventId::kSettingsRefused, kError, "settings-refused",
+                     "The settings file cannot be read or is not valid; the "
+                     "settings in force stay."},
+    EventDescription{EventId::kSettingsNeedRestart, kWarning,
+                     "settings-need-restart",
+                     "Fields of the settings file differ from those in force "
+                     "and take effect only after a restart."},
     EventDescription{EventId::kConfigurationInForce, kInformation,
                      "configuration-in-force",
                      "A new configuration was applied."},
--- a/src/state/validation_error_list.h
+++ b/src/state/validation_error_list.h
@@ -35,6 +35,10 @@
 
   /// All errors, one per line.
   std::string ToString() const;
+  /// The errors in one line for the log: without quotes and control characters,
+  /// each cut off at 200 characters, at most 20 of them and the number of the
+  /// others.
+  std::string ToLine() const;
 
  private:
   std::string file;
--- a/src/transport/platform_client.h
+++ b/src/transport/platform_client.h
@@ -21,6 +21,9 @@
  public:
   PlatformClient(asio::io_context& context, const Address& address);
 
+  /// Sets where reads are sent from the next one on.
+  void SetAddress(const Address& new_address) { this->address = new_address; }
+
   /// Reads a value.
   ///
   /// If `wait` is above zero, this is a long poll (a watch): the platform
--- a/tests/coordination/distributed_rate_limiter_test.cc
+++ b/tests/coordination/distributed_rate_limiter_test.cc
@@ -342,6 +342,39 @@
   }
 }
 
+// Guards against bounds that apply only to customers that are new after the
+// change.
+BOOST_AUTO_TEST_CASE(changed_bounds_apply_to_known_customers) {
+  MeshCustomer customer;
+  customer.name = "school";
+  customer.rate = 100;
+  customer.burst = 100;
+  const MeshConfiguration configuration(1, {}, {}, {customer}, CallerLimits());
+  MeshBounds bounds = PlatformBounds();
+  bounds.quota_over = 0;
+  DistributedRateLimiter limiter(bounds);
+  TimePoint now;
+  limiter.Configure(configuration, now);
+  const auto count_admitted = [&now](DistributedRateLimiter& counted) {
+    int admitted = 0;
+    while (counted.TryAcquire("school", now)) {
+      ++admitted;
+    }
+    return admitted;
+  };
+  now += std::chrono::seconds(10);
+  const int admitted_before = count_admitted(limiter);
+  bounds.quota_over = 1;
+  limiter.SetBounds(bounds);
+  limiter.Configure(configuration, now);
+  DistributedRateLimiter restarted(bounds);
+  restarted.Configure(configuration, now);
+  now += std::chrono::seconds(10);
+  const int admitted = count_admitted(limiter);
+  BOOST_TEST(admitted > admitted_before);
+  BOOST_TEST(admitted == count_admitted(restarted));
+}
+
 BOOST_AUTO_TEST_CASE(normal_demand_is_served_while_nodes_are_isolated) {
   LimiterSimulation simulation(17, 106, 106, 1);
   simulation.Run(66, milliseconds(3000));
--- a/tests/support/mesh_fleet.cc
+++ b/tests/support/mesh_fleet.cc
@@ -144,34 +144,48 @@
 }
 
 void MeshFleet::StartNode(MeshVm& vm) {
-  const boost::json::object settings = {
-      {"interface", "mesh"},
-      {"vm", vm.name},
-      {"data_centre", vm.data_centre},
-      {"service", vm.service},
-      {"caller_address", vm.caller_address.ToString()},
-      {"peer_address", vm.peer_address.ToString()},
-      {"peer_port", vm.peer_proxy_address.port},
-      {"ready_address", vm.ready_address.ToString()},
-      {"news_address", vm.news_address.ToString()},
-      {"operator_address", vm.operator_address.ToString()},
-      {"target_address", vm.target_proxy_address.ToString()},
-      {"platform_address", vm.store_proxy_address.ToString()},
-      {"bounds",
-       {{"drain", "2000ms"},
-        {"grace", "6s"},
-        {"retry_ratio", 0.2},
-        {"retry_slack", 47},
-        {"retry_window", "10s"},
-        {"quota_window", "5s"},
-        {"quota_over", 0.25},
-        {"quota_slack", 20},
-        {"cold_over", 1.5}}}};
-  const std::string file = this->folder + "/" + vm.name + ".json";
-  std::ofstream(file) << boost::json::serialize(settings);
+  this->WriteSettings(vm, boost::json::serialize(this->MakeSettings(vm)));
+  this->RunNode(vm);
+}
+
+boost::json::object MeshFleet::MakeSettings(const MeshVm& vm) {
+  return {{"interface", "mesh"},
+          {"vm", vm.name},
+          {"data_centre", vm.data_centre},
+          {"service", vm.service},
+          {"caller_address", vm.caller_address.ToString()},
+          {"peer_address", vm.peer_address.ToString()},
+          {"peer_port", vm.peer_proxy_address.port},
+          {"ready_address", vm.ready_address.ToString()},
+          {"news_address", vm.news_address.ToString()},
+          {"operator_address", vm.operator_address.ToString()},
+          {"target_address", vm.target_proxy_address.ToString()},
+          {"platform_address", vm.store_proxy_address.ToString()},
+          {"bounds",
+           {{"drain", "2000ms"},
+            {"grace", "6s"},
+            {"retry_ratio", 0.2},
+            {"retry_slack", 47},
+            {"retry_window", "10s"},
+            {"quota_window", "5s"},
+            {"quota_over", 0.25},
+            {"quota_slack", 20},
+            {"cold_over", 1.5}}}};
+}
+
+std::string MeshFleet::SettingsFile(const MeshVm& vm) const {
+  return this->folder + "/" + vm.name + ".json";
+}
+
+void MeshFleet::WriteSettings(const MeshVm& vm, const std::string& text) {
+  std::ofstream(this->SettingsFile(vm)) << text;
+}
+
+void MeshFleet::RunNode(MeshVm& vm) {
   vm.node_process = std::make_unique<Process>(
       this->binaries + "/daisywinch",
-      std::vector<std::string>{"node", "--settings=" + file, "--verbose"},
+      std::vector<std::string>{"node", "--settings=" + this->SettingsFile(vm),
+                               "--verbose"},
       this->folder + "/" + vm.name + ".log");
 }
 
--- a/tests/support/mesh_fleet.h
+++ b/tests/support/mesh_fleet.h
@@ -56,7 +56,13 @@
   /// std::runtime_error if that takes too long.
   void Start();
 
+  /// Writes the settings and starts the node with them.
   void StartNode(MeshVm& vm);
+  /// Starts the node with its settings file as it is.
+  void RunNode(MeshVm& vm);
+  boost::json::object MakeSettings(const MeshVm& vm);
+  std::string SettingsFile(const MeshVm& vm) const;
+  void WriteSettings(const MeshVm& vm, const std::string& text);
   void StartTarget(MeshVm& vm);
   bool IsReady(const MeshVm& vm);
 
@@ -79,6 +85,7 @@
                            std::string attempt_id = "");
 
   std::vector<std::unique_ptr<MeshVm>>& Vms() { return this->vms; }
+  const Address& StoreAddress() const { return this->store_address; }
   const std::string& Folder() const { return this->folder; }
 
   static constexpr char kHost[] = "shop.example";
--- a/tests/support/test_fleet.cc
+++ b/tests/support/test_fleet.cc
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <stdexcept>
 #include <thread>
 
@@ -218,7 +219,12 @@
 }
 
 void TestFleet::StartNode(TestVm& vm) {
-  const boost::json::object settings = {
+  this->WriteSettings(vm, boost::json::serialize(this->MakeSettings(vm)));
+  this->RunNode(vm);
+}
+
+boost::json::object TestFleet::MakeSettings(const TestVm& vm) {
+  return {
       {"vm", vm.name},
       {"data_centre", vm.data_centre},
       {"service", vm.service},
@@ -229,11 +235,21 @@
       {"target_address", vm.target_address.ToString()},
       {"platform_address", this->PlatformAddress(vm.data_centre).ToString()},
       {"fleet_secret", kFleetSecret}};
-  const std::string file = this->folder + "/" + vm.name + ".json";
-  std::ofstream(file) << boost::json::serialize(settings);
+}
+
+std::string TestFleet::SettingsFile(const TestVm& vm) const {
+  return this->folder + "/" + vm.name + ".json";
+}
+
+void TestFleet::WriteSettings(const TestVm& vm, const std::string& text) {
+  std::ofstream(this->SettingsFile(vm)) << text;
+}
+
+void TestFleet::RunNode(TestVm& vm) {
   vm.node_process = std::make_unique<Process>(
       this->binaries + "/daisywinch",
-      std::vector<std::string>{"node", "--settings=" + file, "--verbose"},
+      std::vector<std::string>{"node", "--settings=" + this->SettingsFile(vm),
+                               "--verbose"},
       this->folder + "/" + vm.name + ".log");
 }
 
@@ -289,6 +305,13 @@
   throw std::runtime_error("the fleet has no VM " + name);
 }
 
+std::string TestFleet::ReadNodeLog(const TestVm& vm) {
+  std::ifstream file(this->folder + "/" + vm.name + ".log");
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
 boost::json::value TestFleet::GetStatus(const TestVm& vm) {
   return GetJson(vm.operator_address, "/status");
 }
--- a/tests/support/test_fleet.h
+++ b/tests/support/test_fleet.h
@@ -49,7 +49,13 @@
   /// Whether a node is ready and mints its fraction of every customer's tokens.
   bool IsReadyAndMinting(const TestVm& vm);
 
+  /// Writes the settings and starts the node with them.
   void StartNode(TestVm& vm);
+  /// Starts the node with its settings file as it is.
+  void RunNode(TestVm& vm);
+  boost::json::object MakeSettings(const TestVm& vm);
+  std::string SettingsFile(const TestVm& vm) const;
+  void WriteSettings(const TestVm& vm, const std::string& text);
   void StartTarget(TestVm& vm);
   void PublishConfiguration(const Configuration& configuration);
   /// Publishes a VM list without the VMs in `removed`, in which the VMs in
@@ -65,6 +71,7 @@
   /// Throws std::runtime_error if there is no such VM.
   TestVm& GetVm(const std::string& name);
   std::vector<std::unique_ptr<TestVm>>& Vms() { return this->vms; }
+  std::string ReadNodeLog(const TestVm& vm);
   boost::json::value GetStatus(const TestVm& vm);
   boost::json::value GetTargetLog(const TestVm& vm);
   /// Returns the requests that a target started.
