Keep logging after the reader of the log has gone

What operators saw: when the reader of a node's standard output ended, the next line ended the node by SIGPIPE. With that signal ignored, the node lives but writes no line ever again, even when a reader is back.

Cause: the first failed write leaves std::cout in a failed state, and the log's backend writes nothing to a stream in that state; the lines were lost without being counted.

Change: the backend writes each line to the standard output by write(2), continues after an interrupted call, and drops and counts a line that cannot be written. The next line is tried again.

The interrupted call has no test of its own.

--- a/src/state/event_log.cc
+++ b/src/state/event_log.cc
@@ -1,20 +1,21 @@
 #include "state/event_log.h"
 
+#include <unistd.h>
+
 #include <array>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
 #include <future>
-#include <iostream>
 #include <memory>
 #include <thread>
 
-#include <boost/core/null_deleter.hpp>
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
@@ -165,9 +166,35 @@
   static void interrupt() {}
 };
 
-using LogBackend = boost::log::sinks::text_ostream_backend;
+/// Writes each line to the standard output. A line that cannot be written, for
+/// example because the reader has gone, is dropped and counted; the next one is
+/// tried again. Boost.Log prescribes the name of the function.
+class StandardOutputBackend
+    : public boost::log::sinks::basic_formatted_sink_backend<
+          char,
+          boost::log::sinks::synchronized_feeding> {
+ public:
+  static void consume(const boost::log::record_view& /*record*/,
+                      const std::string& line) {
+    const std::string text = line + "\n";
+    std::size_t written = 0;
+    while (written < text.size()) {
+      const ssize_t count =
+          ::write(STDOUT_FILENO, text.data() + written, text.size() - written);
+      if (count < 0 && errno == EINTR) {
+        continue;
+      }
+      if (count <= 0) {
+        ++dropped_lines;
+        return;
+      }
+      written += static_cast<std::size_t>(count);
+    }
+  }
+};
+
 using LogSink = boost::log::sinks::asynchronous_sink<
-    LogBackend,
+    StandardOutputBackend,
     boost::log::sinks::bounded_fifo_queue<kMaxQueuedLines,
                                           DropAndCountOnOverflow>>;
 
@@ -203,12 +230,7 @@
 void InitializeEventLog(Severity min_severity) {
   namespace expressions = boost::log::expressions;
   boost::log::add_common_attributes();
-  const boost::shared_ptr<LogBackend> backend =
-      boost::make_shared<LogBackend>();
-  backend->add_stream(
-      boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
-  backend->auto_flush(true);
-  log_sink = boost::make_shared<LogSink>(backend);
+  log_sink = boost::make_shared<LogSink>();
   log_sink->set_formatter(
       expressions::stream
       << expressions::format_date_time<boost::posix_time::ptime>(
