Order positions in the store by era and revision

Cause: a restored store gives out its revisions again, and the header Store-Era, which rises by one each time, was read nowhere. Revisions were compared as if they only rose. A watch from a revision that the new era has already passed gets no 410 but only later changes, so what was written again below it was never seen; a node that knew a higher revision of the earlier era took a relay's report of the new era for nothing new.

Change: StorePosition, an era with a revision and ordered by era first, replaces revisions in the pages of the store, the progress of StoreWatcher, StoreFeed, the messages of relays, the status and the log. A response or a 410 of a new era sets back both prefixes, which are then listed; its own changes are not applied. A response of an earlier era is discarded, and pages of two eras are not mixed. A relay that reports an earlier era is no live feed and its changes are ignored; a later one makes a node read for itself. Its changes apply meanwhile, since the node may be unable to reach the store, but do not advance the position. While Follow() still waits in a long poll of the earlier era, CatchUp() reads instead. A relay says nothing of the store while it lists anew, so that its nodes do not all start to watch, and reports at once when it has listed. Event 2015, store-restored, logs both positions. Messages of nodes without an era count as era 0. The store's stand-in has eras and /test/restore.

This commit by itself was compiled but not run.

--- a/src/coordination/store_feed.cc
+++ b/src/coordination/store_feed.cc
@@ -21,12 +21,18 @@
   this->relays[relay] = {state, now};
 }
 
-bool StoreFeed::HasLiveFeed(TimePoint now) const {
-  return std::any_of(this->relays.begin(), this->relays.end(),
-                     [now](const auto& entry) {
-                       return entry.second.state.is_reachable &&
-                              now - entry.second.last_seen_at <= kFeedTimeout;
-                     });
+bool StoreFeed::HasLiveFeed(std::uint64_t era, TimePoint now) const {
+  return std::any_of(
+      this->relays.begin(), this->relays.end(), [era, now](const auto& entry) {
+        const FeedState& state = entry.second.state;
+        return state.is_reachable &&
+               now - entry.second.last_seen_at <= kFeedTimeout &&
+               std::none_of(state.last_changes.begin(),
+                            state.last_changes.end(),
+                            [era](const auto& last_change) {
+                              return last_change.second.era < era;
+                            });
+      });
 }
 
 bool StoreFeed::HasLiveRelay(TimePoint now) const {
@@ -36,17 +42,17 @@
                      });
 }
 
-std::uint64_t StoreFeed::LastChange(std::string_view prefix,
+StorePosition StoreFeed::LastChange(std::string_view prefix,
                                     TimePoint now) const {
-  std::uint64_t highest = 0;
+  StorePosition latest;
   for (const auto& [name, relay] : this->relays) {
     const auto found = relay.state.last_changes.find(prefix);
     if (now - relay.last_seen_at <= kFeedTimeout &&
         found != relay.state.last_changes.end()) {
-      highest = std::max(highest, found->second);
+      latest = std::max(latest, found->second);
     }
   }
-  return highest;
+  return latest;
 }
 
 }  // namespace daisywinch
--- a/src/coordination/store_feed.h
+++ b/src/coordination/store_feed.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "state/clock.h"
+#include "state/store_position.h"
 
 namespace daisywinch {
 
@@ -14,8 +15,8 @@
 struct FeedState {
   /// Whether the store answers the relay.
   bool is_reachable = false;
-  /// Revision of the last change that the relay has read, by key prefix.
-  std::map<std::string, std::uint64_t, std::less<>> last_changes;
+  /// Position of the last change that the relay has read, by key prefix.
+  std::map<std::string, StorePosition, std::less<>> last_changes;
 };
 
 /// Tracks what the relays of this node's data centre report about the
@@ -34,15 +35,16 @@
                   const FeedState& state,
                   TimePoint now);
 
-  /// Whether a relay that can read the store has reported recently.
-  bool HasLiveFeed(TimePoint now) const;
+  /// Whether a relay has reported recently that can read the store and isn't in
+  /// an era before `era`.
+  bool HasLiveFeed(std::uint64_t era, TimePoint now) const;
 
   /// Whether any relay has reported recently.
   bool HasLiveRelay(TimePoint now) const;
 
-  /// Returns the highest revision of a change under the prefix that relays have
-  /// reported recently; 0 if there is none.
-  std::uint64_t LastChange(std::string_view prefix, TimePoint now) const;
+  /// Returns the latest position of a change under the prefix that relays have
+  /// reported recently; zero if there is none.
+  StorePosition LastChange(std::string_view prefix, TimePoint now) const;
 
  private:
   struct Relay {
--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -213,7 +213,8 @@
         {"service", this->settings.service},
         {"ready", this->IsReady()},
         {"configuration_version", this->directory.ConfigurationVersion()},
-        {"store_revision", this->watcher.Revision()},
+        {"store_era", this->watcher.Position().era},
+        {"store_revision", this->watcher.Position().revision},
         {"store_calls", this->watcher.CallCount()},
         {"gate", gate_status}};
     co_return MakeTextResponse(http::status::ok,
--- a/src/node/store_watcher.cc
+++ b/src/node/store_watcher.cc
@@ -80,17 +80,17 @@
   asio::co_spawn(this->context, this->MaintainDirectory(), asio::detached);
 }
 
-std::uint64_t StoreWatcher::Revision() const {
-  std::uint64_t lowest = 0;
+StorePosition StoreWatcher::Position() const {
+  std::optional<StorePosition> lowest;
   for (const auto& [prefix, progress] : this->progress_by_prefix) {
-    lowest =
-        lowest == 0 ? progress.revision : std::min(lowest, progress.revision);
+    lowest = std::min(lowest.value_or(progress.position), progress.position);
   }
-  return lowest;
+  return lowest.value_or(StorePosition());
 }
 
 bool StoreWatcher::HasLiveFeed() const {
-  return !this->is_relay && this->store_feed.HasLiveFeed(this->clock.Now());
+  return !this->is_relay &&
+         this->store_feed.HasLiveFeed(this->era.value_or(0), this->clock.Now());
 }
 
 void StoreWatcher::LogFeedChange() {
@@ -101,7 +101,8 @@
   this->logged_live_feed = has_live_feed;
   LogEvent(has_live_feed ? EventId::kStoreFed : EventId::kStoreReadItself,
            {{"relay", this->is_relay ? "true" : "false"},
-            {"revision", this->Revision()}});
+            {"era", this->Position().era},
+            {"revision", this->Position().revision}});
 }
 
 Awaitable<> StoreWatcher::Pause(Duration time) {
@@ -114,9 +115,13 @@
   Progress& progress = this->progress_by_prefix[prefix];
   while (true) {
     bool has_succeeded = false;
-    if (progress.revision == 0) {
+    // With a live feed, CatchUp() lists the prefix anew.
+    const bool is_listed_elsewhere =
+        progress.is_listing ||
+        (this->HasLiveFeed() && this->listed_prefixes.contains(prefix));
+    if (progress.MustBeListed() && !is_listed_elsewhere) {
       has_succeeded = co_await this->List(prefix, progress);
-    } else if (this->HasLiveFeed()) {
+    } else if (progress.MustBeListed() || this->HasLiveFeed()) {
       co_await this->Pause(kFeedCheckInterval);
       continue;
     } else {
@@ -124,7 +129,9 @@
       const Duration wait =
           is_operator_prefix ? kOperatorWatchWait : kTargetWatchWait;
       progress.response_due_at = this->clock.Now() + wait + kOverdueMargin;
+      progress.poll_era = progress.position.era;
       has_succeeded = co_await this->Watch(prefix, progress, wait);
+      progress.poll_era.reset();
       progress.response_due_at.reset();
     }
     if (has_succeeded) {
@@ -171,25 +178,21 @@
   Progress& progress = this->progress_by_prefix[prefix];
   std::uniform_real_distribution<double> fraction(0, 1);
   int failures_in_row = 0;
-  const auto is_behind = [&] {
-    return this->listed_prefixes.contains(prefix) &&
-           progress.revision <
-               this->store_feed.LastChange(prefix, this->clock.Now());
-  };
   while (true) {
     co_await this->Pause(kFeedCheckInterval);
-    if (!is_behind()) {
+    if (!this->MustCatchUp(prefix, progress)) {
       continue;
     }
     co_await this->Pause(std::chrono::duration_cast<Duration>(
         kMaxCatchUpDelay * fraction(this->random)));
-    if (!is_behind()) {
+    if (!this->MustCatchUp(prefix, progress)) {
       continue;
     }
-    bool has_succeeded = co_await this->Watch(prefix, progress, kCatchUpWait);
-    if (has_succeeded && progress.revision == 0) {
-      // The store has discarded the changes. List them here, as the long poll
-      // of Follow() may still be waiting.
+    bool has_succeeded = progress.MustBeListed() ||
+                         co_await this->Watch(prefix, progress, kCatchUpWait);
+    if (has_succeeded && progress.MustBeListed() && !progress.is_listing) {
+      // The store has discarded the changes or began a new era. List them here,
+      // as the long poll of Follow() may still be waiting.
       has_succeeded = co_await this->List(prefix, progress);
     }
     if (has_succeeded) {
@@ -202,10 +205,57 @@
   }
 }
 
+bool StoreWatcher::MustCatchUp(const std::string& prefix,
+                               const Progress& progress) const {
+  if (!this->listed_prefixes.contains(prefix) || progress.is_listing) {
+    return false;
+  }
+  const bool is_poll_obsolete = progress.poll_era &&
+                                *progress.poll_era < progress.position.era &&
+                                !this->HasLiveFeed();
+  return progress.MustBeListed() || is_poll_obsolete ||
+         progress.position <
+             this->store_feed.LastChange(prefix, this->clock.Now());
+}
+
+bool StoreWatcher::AcceptEra(const StorePosition& position) {
+  if (this->era && position.era < *this->era) {
+    this->last_error = "the response comes from an earlier era of the store";
+    return false;
+  }
+  if (!this->era || *this->era < position.era) {
+    this->NoteEra(position);
+    this->era = position.era;
+    for (auto& [prefix, progress] : this->progress_by_prefix) {
+      progress.position = {position.era, 0};
+      progress.last_change = 0;
+    }
+  }
+  return true;
+}
+
+void StoreWatcher::NoteEra(const StorePosition& position) {
+  if (this->reported_era && *this->reported_era < position.era) {
+    LogEvent(EventId::kStoreRestored,
+             {{"known_era", this->Position().era},
+              {"known_revision", this->Position().revision},
+              {"era", position.era},
+              {"revision", position.revision}});
+  }
+  this->reported_era = std::max(this->reported_era.value_or(0), position.era);
+}
+
 Awaitable<bool> StoreWatcher::List(std::string prefix, Progress& progress) {
+  progress.is_listing = true;
+  const bool has_succeeded = co_await this->ReadList(prefix, progress);
+  progress.is_listing = false;
+  co_return has_succeeded;
+}
+
+Awaitable<bool> StoreWatcher::ReadList(std::string prefix, Progress& progress) {
   std::set<std::string> keys;
   std::string after;
-  std::uint64_t first_revision = 0;
+  std::optional<StorePosition> first;
   std::vector<StoreItem> items;
   while (true) {
     const std::optional<HttpResponse> response = co_await this->SendRequest(
@@ -218,11 +268,20 @@
     if (!page) {
       co_return false;
     }
+    if (!this->AcceptEra(page->position)) {
+      co_return false;
+    }
+    if (first && first->era != page->position.era) {
+      // The pages before are of an earlier era.
+      first.reset();
+      keys.clear();
+      after.clear();
+      items.clear();
+      continue;
+    }
     // The pages are no consistent snapshot. Watching from the revision of the
     // first page returns all changes made since then.
-    if (first_revision == 0) {
-      first_revision = page->store_revision;
-    }
+    first = first.value_or(page->position);
     for (StoreItem& item : page->items) {
       keys.insert(item.key);
       after = item.key;
@@ -241,34 +300,46 @@
     this->ApplyItem(item);
   }
   this->RemoveUnlisted(prefix, keys);
-  progress.revision = std::max<std::uint64_t>(1, first_revision);
+  progress.position = {first->era, std::max<std::uint64_t>(1, first->revision)};
   // The list doesn't show removed keys. Reporting its revision as a change
   // makes nodes at an older revision read the changes themselves.
-  progress.last_change = progress.revision;
-  this->listed_prefixes.insert(prefix);
+  progress.last_change = progress.position.revision;
+  const bool is_first = this->listed_prefixes.insert(prefix).second;
   this->on_change();
+  const std::optional<protocol::StoreNews> update = this->MakeStoreUpdate();
+  if (!is_first && update && this->forward_update) {
+    this->forward_update(*update);
+  }
   co_return true;
 }
 
 Awaitable<bool> StoreWatcher::Watch(std::string prefix,
                                     Progress& progress,
                                     Duration wait) {
-  const std::uint64_t after = progress.revision;
+  const StorePosition after = progress.position;
   const std::uint64_t last_change = progress.last_change;
   const std::optional<HttpResponse> response = co_await this->SendRequest(
-      platform::MakeWatchRequest(prefix, after, wait), wait + kResponseTimeout);
+      platform::MakeWatchRequest(prefix, after.revision, wait),
+      wait + kResponseTimeout);
   if (!response) {
     co_return false;
   }
   if (platform::IsHistoryGone(*response)) {
-    LogEvent(EventId::kStoreHistoryGone,
-             {{"prefix", prefix}, {"revision", progress.revision}});
-    progress.revision = 0;
+    if (!this->AcceptEra({platform::ReadEra(*response), 0})) {
+      co_return false;
+    }
+    if (progress.position == after) {
+      LogEvent(EventId::kStoreHistoryGone, {{"prefix", prefix},
+                                            {"era", after.era},
+                                            {"revision", after.revision}});
+      progress.last_unconnected = std::max(progress.last_unconnected, after);
+      progress.position.revision = 0;
+    }
     co_return true;
   }
   const std::optional<StorePage> page =
       platform::DecodePage(*response, this->last_error);
-  if (!page) {
+  if (!page || !this->AcceptEra(page->position)) {
     co_return false;
   }
   this->last_contact_at = this->clock.Now();
@@ -276,13 +347,13 @@
       this->unreachable_prefixes.empty()) {
     this->HandleStoreReachable();
   }
-  if (progress.revision == 0) {
-    // During this request, the other coroutine that reads this prefix found
-    // that the store has discarded the history. The prefix is to be listed
-    // again first.
+  if (progress.MustBeListed() || page->position.era != after.era) {
+    // The changes are not those after the known position: the store has begun a
+    // new era, or the other coroutine that reads this prefix found that the
+    // store has discarded the history.
     co_return true;
   }
-  if (this->ApplyChanges(page->items, page->store_revision, progress)) {
+  if (this->ApplyChanges(page->items, page->position.revision, progress)) {
     this->on_change();
     this->ForwardChanges(prefix, last_change, *page);
   }
@@ -294,13 +365,13 @@
                                 Progress& progress) {
   bool has_applied = false;
   for (const StoreItem& item : items) {
-    if (item.revision > progress.revision) {
+    if (item.revision > progress.position.revision) {
       this->ApplyItem(item);
       progress.last_change = std::max(progress.last_change, item.revision);
       has_applied = true;
     }
   }
-  progress.revision = std::max(progress.revision, up_to);
+  progress.position.revision = std::max(progress.position.revision, up_to);
   return has_applied;
 }
 
@@ -336,7 +407,11 @@
 }
 
 std::optional<protocol::StoreNews> StoreWatcher::MakeStoreUpdate() const {
-  if (this->HasLiveFeed() || this->listed_prefixes.empty()) {
+  const bool is_listing_again = std::any_of(
+      this->progress_by_prefix.begin(), this->progress_by_prefix.end(),
+      [](const auto& entry) { return entry.second.MustBeListed(); });
+  if (this->HasLiveFeed() || this->listed_prefixes.empty() ||
+      (is_listing_again && this->unreachable_prefixes.empty())) {
     return std::nullopt;
   }
   protocol::StoreNews update;
@@ -344,11 +419,12 @@
   for (const auto& [prefix, progress] : this->progress_by_prefix) {
     const bool is_overdue = progress.response_due_at &&
                             this->clock.Now() > *progress.response_due_at;
-    is_up_to_date = is_up_to_date && progress.revision != 0 && !is_overdue;
+    is_up_to_date = is_up_to_date && !progress.MustBeListed() && !is_overdue;
     protocol::PrefixNews* prefix_update = update.add_prefixes();
     prefix_update->set_prefix(prefix);
+    prefix_update->set_era(progress.position.era);
     prefix_update->set_last_change(progress.last_change);
-    prefix_update->set_up_to(progress.revision);
+    prefix_update->set_up_to(progress.position.revision);
   }
   update.set_is_reachable(is_up_to_date && this->unreachable_prefixes.empty());
   update.set_lapse_left_ms(
@@ -363,7 +439,10 @@
   FeedState state;
   state.is_reachable = update.is_reachable();
   for (const protocol::PrefixNews& prefix_update : update.prefixes()) {
-    state.last_changes[prefix_update.prefix()] = prefix_update.last_change();
+    const StorePosition last_change = {prefix_update.era(),
+                                       prefix_update.last_change()};
+    state.last_changes[prefix_update.prefix()] = last_change;
+    this->NoteEra(last_change);
   }
   this->store_feed.ApplyState(update.relay(), state, now);
   if (update.lapse_left_ms() > 0) {
@@ -381,23 +460,9 @@
   bool has_applied = false;
   for (const protocol::PrefixNews& prefix_update : update.prefixes()) {
     const auto found = this->progress_by_prefix.find(prefix_update.prefix());
-    if (found == this->progress_by_prefix.end() ||
-        found->second.revision == 0) {
-      continue;
-    }
-    Progress& progress = found->second;
-    if (!prefix_update.changes().empty() &&
-        progress.revision >= prefix_update.after()) {
-      std::vector<StoreItem> items;
-      for (const protocol::StoreChange& change : prefix_update.changes()) {
-        items.push_back({change.key(), change.value(), change.revision(),
-                         change.is_removed()});
-      }
-      has_applied |= this->ApplyChanges(items, prefix_update.up_to(), progress);
-    } else if (progress.revision >= prefix_update.last_change()) {
-      // There are no changes in between. The higher revision stays available
-      // when the store discards older history.
-      progress.revision = std::max(progress.revision, prefix_update.up_to());
+    if (found != this->progress_by_prefix.end() &&
+        this->listed_prefixes.contains(prefix_update.prefix())) {
+      has_applied |= this->ApplyForwarded(prefix_update, found->second);
     }
   }
   if (has_applied) {
@@ -405,6 +470,46 @@
   }
 }
 
+bool StoreWatcher::ApplyForwarded(const protocol::PrefixNews& update,
+                                  Progress& progress) {
+  if (update.era() < progress.position.era) {
+    return false;
+  }
+  std::vector<StoreItem> items;
+  for (const protocol::StoreChange& change : update.changes()) {
+    items.push_back(
+        {change.key(), change.value(), change.revision(), change.is_removed()});
+  }
+  if (progress.MustBeListed() || update.era() > progress.position.era) {
+    return this->ApplyUnconnected(items, update.era(), progress);
+  }
+  const std::uint64_t known = progress.position.revision;
+  if (!items.empty() && known >= update.after()) {
+    return this->ApplyChanges(items, update.up_to(), progress);
+  }
+  if (known >= update.last_change()) {
+    // There are no changes in between. The higher revision stays available
+    // when the store discards older history.
+    progress.position.revision = std::max(known, update.up_to());
+  }
+  return false;
+}
+
+bool StoreWatcher::ApplyUnconnected(const std::vector<StoreItem>& items,
+                                    std::uint64_t item_era,
+                                    Progress& progress) {
+  bool has_applied = false;
+  for (const StoreItem& item : items) {
+    const StorePosition position = {item_era, item.revision};
+    if (position > progress.last_unconnected) {
+      this->ApplyItem(item);
+      progress.last_unconnected = position;
+      has_applied = true;
+    }
+  }
+  return has_applied;
+}
+
 Awaitable<std::optional<HttpResponse>> StoreWatcher::SendRequest(
     HttpRequest request,
     Duration timeout) {
--- a/src/node/store_watcher.h
+++ b/src/node/store_watcher.h
@@ -17,6 +17,7 @@
 #include "protocol/generated/news_messages.pb.h"
 #include "state/clock.h"
 #include "state/settings.h"
+#include "state/store_position.h"
 #include "transport/asio.h"
 
 namespace daisywinch {
@@ -27,7 +28,9 @@
 /// prefixes are watched: that of the documents that operators write, and that
 /// of the targets' records. Lists each prefix once and then waits for its
 /// changes (long polling). Lists a prefix again when the store has discarded
-/// the changes since the last known revision.
+/// the changes since the last known revision, and lists both again when the
+/// store begins a new era: it was restored from an older copy, and revisions
+/// are given out again. Responses of an earlier era are discarded.
 ///
 /// A relay forwards changes to the nodes of its data centre. A node that
 /// receives this feed sends no long polls and reads only the changes that it
@@ -55,23 +58,30 @@
   /// Applies a store update from a relay.
   void ApplyStoreUpdate(const protocol::StoreNews& update);
   /// Makes the periodic store update, which reports revisions but no changes.
-  /// Returns nothing while this node receives the feed from a relay, and before
-  /// the first prefix is listed.
+  /// Returns nothing while this node receives the feed from a relay, before the
+  /// first prefix is listed, and for as long as a prefix is being listed anew.
   std::optional<protocol::StoreNews> MakeStoreUpdate() const;
 
-  /// Highest revision of the store up to which the changes of both prefixes are
+  /// Position in the store up to which the changes of both prefixes are
   /// applied.
-  std::uint64_t Revision() const;
+  StorePosition Position() const;
   std::uint64_t CallCount() const { return this->call_count; }
 
  private:
   /// Progress of reading one prefix.
   struct Progress {
-    /// All changes up to this revision are applied; 0 while the prefix has to
-    /// be listed.
-    std::uint64_t revision = 0;
-    /// Revision of the last known change.
+    bool MustBeListed() const { return this->position.revision == 0; }
+
+    /// All changes up to this position are applied; its revision is 0 while the
+    /// prefix has to be listed.
+    StorePosition position;
+    /// Revision of the last known change, in the same era.
     std::uint64_t last_change = 0;
+    /// Position of the last change that was applied without those before it.
+    StorePosition last_unconnected;
+    bool is_listing = false;
+    /// Era in which the pending long poll was sent.
+    std::optional<std::uint64_t> poll_era;
     int failures_in_row = 0;
     /// Time after which the response to the pending long poll is overdue.
     std::optional<TimePoint> response_due_at;
@@ -82,11 +92,21 @@
   Awaitable<> Follow(std::string prefix);
   /// Reads all items of a prefix; returns whether that succeeded.
   Awaitable<bool> List(std::string prefix, Progress& progress);
+  Awaitable<bool> ReadList(std::string prefix, Progress& progress);
   /// Reads the changes of a prefix, and waits up to `wait` for the first one;
   /// returns whether that succeeded.
   Awaitable<bool> Watch(std::string prefix, Progress& progress, Duration wait);
-  /// Reads changes that this node misses according to the feed.
+  /// Reads changes that this node misses according to the feed, or that the
+  /// pending long poll misses because it was sent in an earlier era.
   Awaitable<> CatchUp(std::string prefix);
+  /// Whether CatchUp() has to read the prefix.
+  bool MustCatchUp(const std::string& prefix, const Progress& progress) const;
+  /// Takes note of the era of a response. If it is a new one, both prefixes
+  /// have to be listed. Returns false, and sets `last_error`, if the response
+  /// comes from an earlier era.
+  bool AcceptEra(const StorePosition& position);
+  /// Logs a new era that a response or a relay reports.
+  void NoteEra(const StorePosition& position);
   bool HasLiveFeed() const;
   /// Logs when this node starts or stops receiving the feed.
   void LogFeedChange();
@@ -94,6 +114,14 @@
   /// Waits until the next attempt to reach the store is due, or a relay's feed
   /// makes it unnecessary.
   Awaitable<> BackOff(int failures_in_row);
+  /// Applies the changes of a relay's update; returns whether there were any.
+  bool ApplyForwarded(const protocol::PrefixNews& update, Progress& progress);
+  /// Applies changes of an era in which this node hasn't listed the prefix yet,
+  /// as it may be unable to reach the store. The progress stays, as changes may
+  /// be missing.
+  bool ApplyUnconnected(const std::vector<platform::StoreItem>& items,
+                        std::uint64_t item_era,
+                        Progress& progress);
   /// Applies the items that are newer than the progress; returns whether there
   /// were any.
   bool ApplyChanges(const std::vector<platform::StoreItem>& items,
@@ -127,6 +155,10 @@
   /// Prefixes that have been listed at least once.
   std::set<std::string> listed_prefixes;
   std::set<std::string> unreachable_prefixes;
+  /// Era of the latest response; unset before the first one.
+  std::optional<std::uint64_t> era;
+  /// Latest era that a response or a relay has reported.
+  std::optional<std::uint64_t> reported_era;
   StoreFeed store_feed;
   std::function<void(const protocol::StoreNews&)> forward_update;
   bool is_relay = false;
--- a/src/node/update_exchange.cc
+++ b/src/node/update_exchange.cc
@@ -57,7 +57,9 @@
   update.set_incarnation(this->incarnation);
   update.set_sequence(++this->sequence);
   update.set_age_ms(this->UptimeInMilliseconds());
-  update.set_store_revision(this->watcher.Revision());
+  const StorePosition position = this->watcher.Position();
+  update.set_store_era(position.era);
+  update.set_store_revision(position.revision);
   const TimePoint now = this->clock.Now();
   protocol::Datagram datagram;
   *datagram.mutable_node() = std::move(update);
--- a/src/platform/store_calls.cc
+++ b/src/platform/store_calls.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 #include <iterator>
 
 #include <openssl/evp.h>
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr NumberRange kRevisionRange = {0, 9e15};
+constexpr std::string_view kEraHeader = "Store-Era";
 
 std::string PercentEncode(std::string_view text) {
   constexpr std::string_view kDigits = "0123456789ABCDEF";
@@ -98,7 +100,8 @@
   StorePage page;
   if (json) {
     ObjectReader reader(*json, "", errors);
-    page.store_revision = reader.Integer("StoreRevision", kRevisionRange);
+    page.position.era = ReadEra(response);
+    page.position.revision = reader.Integer("StoreRevision", kRevisionRange);
     page.has_more = reader.Boolean("HasMore", false);
     const std::string_view list = reader.Has("events") ? "events" : "items";
     for (ObjectReader& item : reader.Objects(list)) {
@@ -112,6 +115,16 @@
   return page;
 }
 
+std::uint64_t ReadEra(const HttpResponse& response) {
+  const std::string_view text = response[kEraHeader];
+  std::uint64_t era = 0;
+  const std::from_chars_result result =
+      std::from_chars(text.data(), text.data() + text.size(), era);
+  return result.ec == std::errc() && result.ptr == text.data() + text.size()
+             ? era
+             : 0;
+}
+
 bool IsHistoryGone(const HttpResponse& response) {
   return response.result() == http::status::gone;
 }
--- a/src/platform/store_calls.h
+++ b/src/platform/store_calls.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "state/clock.h"
+#include "state/store_position.h"
 #include "transport/http.h"
 
 namespace daisywinch::platform {
@@ -26,8 +27,8 @@
   std::vector<StoreItem> items;
   /// More items exist after the last one of this page.
   bool has_more = false;
-  /// Revision of the whole store at the time of the response.
-  std::uint64_t store_revision = 0;
+  /// Position of the whole store at the time of the response.
+  StorePosition position;
 };
 
 /// Makes a request for the keys that begin with a prefix and follow the key
@@ -45,6 +46,9 @@
 std::optional<StorePage> DecodePage(const HttpResponse& response,
                                     std::string& error);
 
+/// Returns the era of the store that a response states; 0 if it states none.
+std::uint64_t ReadEra(const HttpResponse& response);
+
 /// Whether the store no longer has the changes after the requested revision
 /// (status 410).
 bool IsHistoryGone(const HttpResponse& response);
--- a/src/state/event_log.cc
+++ b/src/state/event_log.cc
@@ -95,6 +95,9 @@
                      "store-read-itself",
                      "This node reads the store itself, because it is a relay "
                      "or receives no updates from a relay that reads it."},
+    EventDescription{EventId::kStoreRestored, kWarning, "store-restored",
+                     "The store was restored from an older copy and began a "
+                     "new era; all keys are read again."},
     EventDescription{EventId::kPeerSuspected, kWarning, "peer-suspected",
                      "A node of the VM list stopped responding."},
     EventDescription{EventId::kPeerRestored, kInformation, "peer-restored",
--- a/src/state/event_log.h
+++ b/src/state/event_log.h
@@ -36,6 +36,7 @@
   kStoreHistoryGone = 2012,
   kStoreFed = 2013,
   kStoreReadItself = 2014,
+  kStoreRestored = 2015,
   kPeerSuspected = 3001,
   kPeerRestored = 3002,
   kPeerRejected = 3003,
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -2,6 +2,7 @@
 // invalid input is rejected with the location of the error.
 #include "platform/operator_documents.h"
 
+#include <map>
 #include <string>
 
 #include <boost/test/unit_test.hpp>
@@ -131,7 +132,8 @@
   const std::optional<platform::StorePage> page =
       platform::DecodePage(response, reason);
   BOOST_REQUIRE(page.has_value());
-  BOOST_TEST(page->store_revision == 6);
+  const StorePosition expected = {0, 6};
+  BOOST_TEST((page->position == expected));
   BOOST_TEST(page->items[0].value == "node-1");
   BOOST_TEST(page->items[1].is_removed);
   response.body() = R"({"events":[{"Key":"a")";
@@ -142,6 +144,22 @@
   BOOST_TEST(reason.find("429") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(store_page_states_the_era_of_its_revision) {
+  HttpResponse response(http::status::ok, 11);
+  response.body() = R"({"items":[],"StoreRevision":6})";
+  std::string reason;
+  for (const auto& [header, era] :
+       std::map<std::string, std::uint64_t>{{"3", 3}, {"x", 0}, {"3x", 0}}) {
+    response.set("Store-Era", header);
+    const std::optional<platform::StorePage> page =
+        platform::DecodePage(response, reason);
+    BOOST_REQUIRE(page.has_value());
+    const StorePosition expected = {era, 6};
+    BOOST_TEST((page->position == expected));
+    BOOST_TEST(platform::ReadEra(response) == era);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(responses_are_classified_by_status_and_headers) {
   using platform::ResponseClass;
   HttpResponse response(http::status::ok, 11);
--- a/tests/standins/store.cc
+++ b/tests/standins/store.cc
@@ -2,6 +2,7 @@
 
 #include <openssl/evp.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "standins/query.h"
@@ -31,6 +32,11 @@
   return response;
 }
 
+HttpResponse AddEra(HttpResponse response, std::uint64_t era) {
+  response.set("Store-Era", std::to_string(era));
+  return response;
+}
+
 }  // namespace
 
 Store::Store(asio::io_context& context, const Address& address)
@@ -52,16 +58,15 @@
     co_return this->HandleTestRequest(request);
   }
   ++this->read_count;
+  HttpResponse response = MakeEmptyResponse(http::status::not_found);
   if (this->is_down) {
-    co_return MakeEmptyResponse(http::status::service_unavailable);
+    response = MakeEmptyResponse(http::status::service_unavailable);
+  } else if (target.starts_with("/kv-range")) {
+    response = this->List(target);
+  } else if (target.starts_with("/kv-watch")) {
+    response = co_await this->Watch(target);
   }
-  if (target.starts_with("/kv-range")) {
-    co_return this->List(target);
-  }
-  if (target.starts_with("/kv-watch")) {
-    co_return co_await this->Watch(target);
-  }
-  co_return MakeEmptyResponse(http::status::not_found);
+  co_return AddEra(std::move(response), this->era);
 }
 
 HttpResponse Store::List(const std::string& target) const {
@@ -88,11 +93,12 @@
   const TimePoint deadline =
       BootTime::now() +
       std::chrono::milliseconds(QueryNumber(target, "WaitMs", 0));
+  const std::uint64_t started_in_era = this->era;
   while (true) {
-    if (this->is_down) {
+    if (this->is_down || this->era != started_in_era) {
       co_return MakeEmptyResponse(http::status::service_unavailable);
     }
-    if (after < this->compacted_revision) {
+    if (after < this->compacted_revision || after > this->revision) {
       co_return MakeEmptyResponse(http::status::gone);
     }
     boost::json::array events;
@@ -122,8 +128,9 @@
     this->is_down = QueryNumber(target, "down", 0) != 0;
     if (QueryNumber(target, "gone", 0) != 0) {
       this->compacted_revision = this->revision;
-      this->history.clear();
     }
+  } else if (target.starts_with("/test/restore")) {
+    this->Restore(QueryNumber(target, "revision", this->revision));
   }
   for (const std::weak_ptr<Timer>& weak_timer :
        std::exchange(this->watch_timers, {})) {
@@ -136,12 +143,29 @@
 
 void Store::Apply(Change change) {
   change.revision = ++this->revision;
+  this->ApplyToItems(change);
+  this->history.push_back(std::move(change));
+}
+
+void Store::ApplyToItems(const Change& change) {
   if (change.is_removed) {
     this->items.erase(change.key);
   } else {
     this->items[change.key] = change;
   }
-  this->history.push_back(std::move(change));
+}
+
+void Store::Restore(std::uint64_t target_revision) {
+  std::erase_if(this->history, [target_revision](const Change& change) {
+    return change.revision > target_revision;
+  });
+  this->items.clear();
+  for (const Change& change : this->history) {
+    this->ApplyToItems(change);
+  }
+  this->revision = target_revision;
+  this->compacted_revision = std::min(this->compacted_revision, this->revision);
+  ++this->era;
 }
 
 boost::json::object Store::ToJson(const Change& change) {
--- a/tests/standins/store.h
+++ b/tests/standins/store.h
@@ -23,6 +23,8 @@
 /// Paths that begin with /test/ are for tests. PUT /test/key?Key=NAME writes a
 /// key and DELETE removes it. /test/mode?down=1 rejects all reads until down=0
 /// is set; gone=1 drops the history of changes, as compaction does.
+/// /test/restore?revision=N brings back the state of an earlier revision and
+/// begins a new era; later revisions are given out again.
 class Store {
  public:
   Store(asio::io_context& context, const Address& address);
@@ -42,6 +44,9 @@
   Awaitable<HttpResponse> Watch(std::string target);
   HttpResponse HandleTestRequest(const HttpRequest& request);
   void Apply(Change change);
+  /// Writes or removes the key of a change that has a revision.
+  void ApplyToItems(const Change& change);
+  void Restore(std::uint64_t target_revision);
   HttpResponse MakeResponse(boost::json::object body) const;
   static boost::json::object ToJson(const Change& change);
 
@@ -49,9 +54,11 @@
   Address address;
   HttpServer server;
   std::map<std::string, Change> items;
+  /// All changes; those up to `compacted_revision` can't be watched.
   std::vector<Change> history;
   std::uint64_t revision = 1;
-  /// Changes up to this revision have been dropped from the history.
+  /// Number of the copy that the store runs on.
+  std::uint64_t era = 1;
   std::uint64_t compacted_revision = 0;
   bool is_down = false;
   std::uint64_t read_count = 0;
--- a/tests/support/mesh_fleet.cc
+++ b/tests/support/mesh_fleet.cc
@@ -216,7 +216,7 @@
   this->PutKey("op/config", boost::json::serialize(configuration));
 }
 
-void MeshFleet::PublishTarget(const MeshVm& vm, bool is_leaving) {
+void MeshFleet::PublishTarget(const MeshVm& vm, bool is_leaving, int sequence) {
   const boost::json::object record = {
       {"Address", vm.target_proxy_address.ToString()},
       {"born", 1},
@@ -227,7 +227,7 @@
         {"Slots", 20}}},
       {"Status",
        {{"State", is_leaving ? "draining" : "ready"},
-        {"Seq", 1},
+        {"Seq", sequence},
         {"ColdLeft", "0ms"}}}};
   this->PutKey("servers/" + vm.target_id, boost::json::serialize(record));
 }
@@ -253,6 +253,18 @@
   Send(this->store_address, call);
 }
 
+std::uint64_t MeshFleet::GetStoreRevision() {
+  return GetJson(this->store_address, "/test/state")
+      .at("StoreRevision")
+      .to_number<std::uint64_t>();
+}
+
+void MeshFleet::RestoreStore(std::uint64_t revision) {
+  Call call;
+  call.path = "/test/restore?revision=" + std::to_string(revision);
+  Send(this->store_address, call);
+}
+
 void MeshFleet::SetTargetBehaviour(const MeshVm& vm, const std::string& query) {
   Call call;
   call.path = "/test/behaviour?" + query;
--- a/tests/support/mesh_fleet.h
+++ b/tests/support/mesh_fleet.h
@@ -62,11 +62,15 @@
 
   /// Writes the configuration. An empty `school_key` withdraws the key.
   void PublishConfiguration(int version, const std::string& school_key);
-  void PublishTarget(const MeshVm& vm, bool is_leaving);
+  /// `sequence` counts the writes of the target's record.
+  void PublishTarget(const MeshVm& vm, bool is_leaving, int sequence = 1);
   void PutKey(const std::string& key, const std::string& value);
   void RemoveKey(const std::string& key);
   /// Changes the behaviour of the store, such as "down=1&gone=1".
   void SetStoreBehaviour(const std::string& query);
+  std::uint64_t GetStoreRevision();
+  /// Takes the store back to an earlier revision, in a new era.
+  void RestoreStore(std::uint64_t revision);
   void SetTargetBehaviour(const MeshVm& vm, const std::string& query);
   /// Returns the requests that a target started.
   boost::json::array GetRuns(const MeshVm& vm);
