Compare the list of a restored store with what is known

What callers saw: after a restore of the store, a target that had left got requests again, because the older copy showed it as present; likewise a target that was leaving would be used as ready, an evacuation that had ended would take its data centre out of service, and targets and evacuations that the copy lacks were dropped although they were written again within seconds.

Cause: a list from an older copy was taken for news. What is missing in it is no removal, and what it shows may have been replaced or removed since.

Change: MeshDirectory knows the position, and for targets the order (born, Seq), of what it last heard of each record. In a list of a new era - a missing target is kept for the expiry grace, whatever the length of the outage; the grace also starts when only a relay reports the era; - a target that was removed or is leaving here, and whose record isn't newer in its own order, is held for 10 s: it is used only if the store still keeps the record then, because nobody renews the record of a target that is gone. To ignore it for good would lose a target whose record had only expired: later heartbeats do not change a record. An older record of a live target changes nothing; - a missing evacuation is kept for 10 s; one that ended here and was not written later than the record that was removed applies only after 10 s. Changes in the new era always apply, and clear what was held or deferred. Within an era the position decides, so a list that is older than a forwarded change does not undo it. The configuration stays the highest version, as before.

--- a/src/node/store_watcher.cc
+++ b/src/node/store_watcher.cc
@@ -54,6 +54,21 @@
 constexpr std::size_t kMaxForwardedBytes = std::size_t{32} * 1024;
 constexpr double kBackoffJitter = 0.5;
 
+/// `is_used` is false if the node knows a later state of the target.
+void LogTarget(const MeshTarget& target,
+               const StorePosition& position,
+               bool is_used) {
+  LogEvent(EventId::kTargetListed,
+           {{"target", target.id},
+            {"service", target.service},
+            {"address", target.address.ToString()},
+            {"leaving", target.leaving ? "true" : "false"},
+            {"sequence", target.sequence},
+            {"used", is_used ? "true" : "false"},
+            {"era", position.era},
+            {"revision", position.revision}});
+}
+
 }  // namespace
 
 StoreWatcher::StoreWatcher(asio::io_context& context,
@@ -236,6 +251,7 @@
 
 void StoreWatcher::NoteEra(const StorePosition& position) {
   if (this->reported_era && *this->reported_era < position.era) {
+    this->directory.MarkStoreRestored(this->clock.Now());
     LogEvent(EventId::kStoreRestored,
              {{"known_era", this->Position().era},
               {"known_revision", this->Position().revision},
@@ -253,7 +269,6 @@
 }
 
 Awaitable<bool> StoreWatcher::ReadList(std::string prefix, Progress& progress) {
-  std::set<std::string> keys;
   std::string after;
   std::optional<StorePosition> first;
   std::vector<StoreItem> items;
@@ -274,7 +289,6 @@
     if (first && first->era != page->position.era) {
       // The pages before are of an earlier era.
       first.reset();
-      keys.clear();
       after.clear();
       items.clear();
       continue;
@@ -283,7 +297,6 @@
     // first page returns all changes made since then.
     first = first.value_or(page->position);
     for (StoreItem& item : page->items) {
-      keys.insert(item.key);
       after = item.key;
       items.push_back(std::move(item));
     }
@@ -296,10 +309,7 @@
   // may have expired during an outage, and the directory then defers the
   // removal of their targets.
   this->HandleStoreReachable();
-  for (const StoreItem& item : items) {
-    this->ApplyItem(item);
-  }
-  this->RemoveUnlisted(prefix, keys);
+  this->ApplyList(prefix, items, *first);
   progress.position = {first->era, std::max<std::uint64_t>(1, first->revision)};
   // The list doesn't show removed keys. Reporting its revision as a change
   // makes nodes at an older revision read the changes themselves.
@@ -366,7 +376,7 @@
   bool has_applied = false;
   for (const StoreItem& item : items) {
     if (item.revision > progress.position.revision) {
-      this->ApplyItem(item);
+      this->ApplyItem(item, progress.position.era);
       progress.last_change = std::max(progress.last_change, item.revision);
       has_applied = true;
     }
@@ -502,7 +512,7 @@
   for (const StoreItem& item : items) {
     const StorePosition position = {item_era, item.revision};
     if (position > progress.last_unconnected) {
-      this->ApplyItem(item);
+      this->ApplyItem(item, item_era);
       progress.last_unconnected = position;
       has_applied = true;
     }
@@ -526,7 +536,8 @@
   co_return response;
 }
 
-void StoreWatcher::ApplyItem(const StoreItem& item) {
+void StoreWatcher::ApplyItem(const StoreItem& item, std::uint64_t item_era) {
+  const StorePosition position = {item_era, item.revision};
   if (item.key == platform::kConfigurationKey) {
     this->ApplyConfiguration(item);
   } else if (item.key.starts_with(platform::kEvacuationPrefix)) {
@@ -536,9 +547,13 @@
              {{"data_centre", data_centre},
               {"in_service", item.is_removed ? "true" : "false"},
               {"revision", item.revision}});
-    this->directory.SetEvacuated(data_centre, !item.is_removed);
+    this->directory.SetEvacuated(data_centre, !item.is_removed, position);
   } else if (item.key.starts_with(platform::kTargetPrefix)) {
-    this->ApplyTarget(item);
+    const std::optional<MeshTarget> target = this->DecodeTarget(item, position);
+    if (target) {
+      this->directory.ApplyTarget(*target, position);
+      LogTarget(*target, position, true);
+    }
   }
 }
 
@@ -564,50 +579,64 @@
   }
 }
 
-void StoreWatcher::ApplyTarget(const StoreItem& item) {
+std::optional<MeshTarget> StoreWatcher::DecodeTarget(
+    const StoreItem& item,
+    const StorePosition& position) {
   const std::string id = item.key.substr(platform::kTargetPrefix.size());
   if (item.is_removed) {
     LogEvent(EventId::kTargetGone,
              {{"target", id}, {"revision", item.revision}});
-    this->directory.RemoveTarget(id, this->clock.Now());
-    return;
+    this->directory.RemoveTarget(id, position, this->clock.Now());
+    return std::nullopt;
   }
   ValidationErrorList errors(item.key);
-  const std::optional<MeshTarget> target =
+  std::optional<MeshTarget> target =
       platform::DecodeTarget(id, item.value, errors);
   if (!target) {
     LogEvent(EventId::kTargetRefused,
              {{"target", id}, {"reason", errors.Errors().front().ToString()}});
-    this->directory.RemoveTarget(id, this->clock.Now());
-    return;
+    this->directory.RemoveTarget(id, position, this->clock.Now());
   }
-  LogEvent(EventId::kTargetListed,
-           {{"target", id},
-            {"service", target->service},
-            {"address", target->address.ToString()},
-            {"leaving", target->leaving ? "true" : "false"},
-            {"revision", item.revision}});
-  this->directory.ApplyTarget(*target);
+  return target;
 }
 
-void StoreWatcher::RemoveUnlisted(std::string_view prefix,
-                                  const std::set<std::string>& keys) {
-  std::set<std::string> names;
-  const std::string_view name_prefix = prefix == platform::kTargetPrefix
-                                           ? platform::kTargetPrefix
-                                           : platform::kEvacuationPrefix;
-  for (const std::string& key : keys) {
-    if (key.starts_with(name_prefix)) {
-      names.insert(key.substr(name_prefix.size()));
+void StoreWatcher::ApplyList(std::string_view prefix,
+                             const std::vector<StoreItem>& items,
+                             const StorePosition& position) {
+  const TimePoint now = this->clock.Now();
+  std::set<std::string> targets;
+  std::map<std::string, std::uint64_t> evacuations;
+  for (const StoreItem& item : items) {
+    const StorePosition written = {position.era, item.revision};
+    if (item.key.starts_with(platform::kTargetPrefix)) {
+      targets.insert(item.key.substr(platform::kTargetPrefix.size()));
+      const std::optional<MeshTarget> target =
+          this->DecodeTarget(item, written);
+      if (target) {
+        LogTarget(*target, written,
+                  this->directory.ApplyListedTarget(*target, written, now));
+      }
+    } else if (item.key.starts_with(platform::kEvacuationPrefix)) {
+      evacuations[item.key.substr(platform::kEvacuationPrefix.size())] =
+          item.revision;
+    } else {
+      this->ApplyItem(item, position.era);
     }
   }
-  if (prefix == platform::kTargetPrefix) {
-    for (const std::string& id :
-         this->directory.RetainTargets(names, this->clock.Now())) {
-      LogEvent(EventId::kTargetGone, {{"target", id}, {"revision", "list"}});
+  if (prefix == platform::kOperatorPrefix) {
+    this->directory.ReplaceEvacuated(evacuations, position, now);
+    for (const auto& [data_centre, revision] : evacuations) {
+      LogEvent(EventId::kEvacuationChanged,
+               {{"data_centre", data_centre},
+                {"in_service",
+                 this->directory.IsEvacuated(data_centre) ? "false" : "true"},
+                {"revision", revision}});
     }
-  } else {
-    this->directory.ReplaceEvacuated(names);
+    return;
+  }
+  for (const std::string& id :
+       this->directory.RetainTargets(targets, position, now)) {
+    LogEvent(EventId::kTargetGone, {{"target", id}, {"revision", "list"}});
   }
 }
 
@@ -635,7 +664,7 @@
     ErrorCode ignored;
     co_await timer.async_wait(Await(ignored));
     this->LogFeedChange();
-    if (this->directory.RemoveOverdueTargets(this->clock.Now())) {
+    if (this->directory.ApplyOverdue(this->clock.Now())) {
       this->on_change();
     }
   }
--- a/src/node/store_watcher.h
+++ b/src/node/store_watcher.h
@@ -105,7 +105,8 @@
   /// have to be listed. Returns false, and sets `last_error`, if the response
   /// comes from an earlier era.
   bool AcceptEra(const StorePosition& position);
-  /// Logs a new era that a response or a relay reports.
+  /// Logs a new era that a response or a relay reports, and tells the
+  /// directory.
   void NoteEra(const StorePosition& position);
   bool HasLiveFeed() const;
   /// Logs when this node starts or stops receiving the feed.
@@ -136,11 +137,17 @@
   /// there is no response.
   Awaitable<std::optional<HttpResponse>> SendRequest(HttpRequest request,
                                                      Duration timeout);
-  void ApplyItem(const platform::StoreItem& item);
+  /// Applies a change.
+  void ApplyItem(const platform::StoreItem& item, std::uint64_t item_era);
+  /// Applies all items of a prefix, listed at `position`.
+  void ApplyList(std::string_view prefix,
+                 const std::vector<platform::StoreItem>& items,
+                 const StorePosition& position);
   void ApplyConfiguration(const platform::StoreItem& item);
-  void ApplyTarget(const platform::StoreItem& item);
-  void RemoveUnlisted(std::string_view prefix,
-                      const std::set<std::string>& keys);
+  /// Removes the target of a removed or invalid record, and otherwise returns
+  /// the one that the record describes.
+  std::optional<MeshTarget> DecodeTarget(const platform::StoreItem& item,
+                                         const StorePosition& position);
   void HandleStoreUnreachable(const std::string& reason);
   void HandleStoreReachable();
   Awaitable<> MaintainDirectory();
--- a/src/platform/operator_documents.cc
+++ b/src/platform/operator_documents.cc
@@ -18,6 +18,7 @@
 constexpr NumberRange kAttemptRange = {1, 100};
 constexpr NumberRange kSlotRange = {1, 1e6};
 constexpr NumberRange kUnixMillisecondRange = {0, 1e15};
+constexpr NumberRange kSequenceRange = {0, 9e15};
 constexpr int kVersionBase = 16;
 constexpr int kDefaultAttempts = 2;
 constexpr std::int64_t kDefaultPriority = 2;
@@ -220,6 +221,7 @@
     status.AddError("State", "is not known", "write ready or draining");
   }
   target.leaving = state == "draining";
+  target.sequence = status.Integer("Seq", kSequenceRange, 0);
   target.cold_left = ReadDuration(status, "ColdLeft", Duration::zero());
   if (!errors.empty()) {
     return std::nullopt;
--- a/src/state/mesh_view.h
+++ b/src/state/mesh_view.h
@@ -31,6 +31,8 @@
   Duration cold_left = Duration::zero();
   /// Unix time in milliseconds at which this run started; 0 if unknown.
   std::int64_t born = 0;
+  /// Rises with each report of this run; 0 if unknown.
+  std::uint64_t sequence = 0;
 
   friend bool operator==(const MeshTarget&, const MeshTarget&) = default;
 };
--- a/tests/coordination/fleet_load_test.cc
+++ b/tests/coordination/fleet_load_test.cc
@@ -321,8 +321,8 @@
   MeshDirectory directory;
   MeshTarget target;
   target.id = "t-1";
-  directory.ApplyTarget(target);
-  directory.RemoveTarget("t-1", kStart);
+  directory.ApplyTarget(target, {1, 1});
+  directory.RemoveTarget("t-1", {1, 2}, kStart);
   BOOST_TEST(directory.MakeView()->Targets().empty());
 }
 
@@ -331,16 +331,16 @@
   MeshTarget target;
   for (const char* id : {"t-1", "t-2"}) {
     target.id = id;
-    directory.ApplyTarget(target);
+    directory.ApplyTarget(target, {1, 1});
   }
   directory.MarkStoreUnreachable();
   BOOST_TEST(directory.MarkStoreReachable(std::chrono::seconds(5), kStart));
-  directory.RetainTargets({}, kStart + milliseconds(10));
+  directory.RetainTargets({}, {1, 2}, kStart + milliseconds(10));
   BOOST_TEST(directory.MakeView()->Targets().size() == 2);
   target.id = "t-1";
-  directory.ApplyTarget(target);
-  BOOST_TEST(!directory.RemoveOverdueTargets(kStart + milliseconds(1700)));
-  BOOST_TEST(directory.RemoveOverdueTargets(kStart + milliseconds(1850)));
+  directory.ApplyTarget(target, {1, 3});
+  BOOST_TEST(!directory.ApplyOverdue(kStart + milliseconds(1700)));
+  BOOST_TEST(directory.ApplyOverdue(kStart + milliseconds(1850)));
   BOOST_TEST(directory.MakeView()->Targets().size() == 1);
   BOOST_TEST(directory.MakeView()->Targets().contains("t-1"));
 }
@@ -355,12 +355,12 @@
   MeshDirectory directory;
   MeshTarget target;
   target.id = "t-1";
-  directory.ApplyTarget(target);
+  directory.ApplyTarget(target, {1, 1});
   directory.MarkStoreUnreachable();
   directory.MarkStoreReachable(std::chrono::seconds(5), kStart);
-  directory.RemoveTarget("t-1", kStart);
-  BOOST_TEST(directory.RemoveOverdueTargets(kStart + kDrainBound -
-                                            kCheckInterval - kTransit));
+  directory.RemoveTarget("t-1", {1, 2}, kStart);
+  BOOST_TEST(
+      directory.ApplyOverdue(kStart + kDrainBound - kCheckInterval - kTransit));
   BOOST_TEST(directory.MakeView()->Targets().empty());
 }
 
@@ -370,17 +370,17 @@
   MeshDirectory directory;
   MeshTarget target;
   target.id = "t-1";
-  directory.ApplyTarget(target);
+  directory.ApplyTarget(target, {1, 1});
   directory.MarkStoreUnreachable();
   directory.MarkStoreReachable(std::chrono::seconds(5), kStart);
   const TimePoint second = kStart + std::chrono::seconds(20);
   directory.MarkStoreUnreachable();
-  directory.RemoveTarget("t-1", second);
+  directory.RemoveTarget("t-1", {1, 2}, second);
   directory.MarkStoreReachable(std::chrono::seconds(5),
                                second + std::chrono::seconds(5));
-  BOOST_TEST(!directory.RemoveOverdueTargets(second + milliseconds(5500)));
+  BOOST_TEST(!directory.ApplyOverdue(second + milliseconds(5500)));
   BOOST_TEST(directory.MakeView()->Targets().size() == 1);
-  BOOST_TEST(directory.RemoveOverdueTargets(second + milliseconds(6900)));
+  BOOST_TEST(directory.ApplyOverdue(second + milliseconds(6900)));
 }
 
 // After a momentary outage of the store, a relay deferred the removal of a
@@ -390,14 +390,14 @@
   MeshTarget target;
   for (const char* id : {"t-1", "t-2"}) {
     target.id = id;
-    directory.ApplyTarget(target);
+    directory.ApplyTarget(target, {1, 1});
   }
   directory.MarkStoreUnreachable();
-  directory.RemoveTarget("t-1", kStart);
+  directory.RemoveTarget("t-1", {1, 2}, kStart);
   BOOST_TEST(directory.MarkStoreReachable(milliseconds(300),
                                           kStart + milliseconds(10)));
-  BOOST_TEST(directory.RemoveOverdueTargets(kStart + milliseconds(10)));
-  directory.RemoveTarget("t-2", kStart + milliseconds(20));
+  BOOST_TEST(directory.ApplyOverdue(kStart + milliseconds(10)));
+  directory.RemoveTarget("t-2", {1, 2}, kStart + milliseconds(20));
   BOOST_TEST(directory.MakeView()->Targets().empty());
 }
 
@@ -405,13 +405,13 @@
   MeshDirectory directory;
   MeshTarget target;
   target.id = "t-1";
-  directory.ApplyTarget(target);
+  directory.ApplyTarget(target, {1, 1});
   directory.ExtendExpiryGrace(kStart + milliseconds(1500));
   BOOST_TEST((directory.ExpiryGraceLeft(kStart) == milliseconds(1500)));
-  directory.RemoveTarget("t-1", kStart);
+  directory.RemoveTarget("t-1", {1, 2}, kStart);
   BOOST_TEST(directory.MakeView()->Targets().size() == 1);
-  BOOST_TEST(!directory.RemoveOverdueTargets(kStart + milliseconds(1400)));
-  BOOST_TEST(directory.RemoveOverdueTargets(kStart + milliseconds(1500)));
+  BOOST_TEST(!directory.ApplyOverdue(kStart + milliseconds(1400)));
+  BOOST_TEST(directory.ApplyOverdue(kStart + milliseconds(1500)));
   BOOST_TEST(directory.MakeView()->Targets().empty());
 }
 
--- a/tests/end_to_end/store_restore_test.cc
+++ b/tests/end_to_end/store_restore_test.cc
@@ -153,6 +153,24 @@
   BOOST_TEST(this->AllNodesAnswer(401));
 }
 
+BOOST_AUTO_TEST_CASE(removed_target_gets_no_requests_after_a_restore) {
+  const std::uint64_t copy = this->fleet.GetStoreRevision();
+  this->fleet.PublishTarget(*this->vms[1], true, 2);
+  this->fleet.RemoveKey("servers/" + this->vms[1]->target_id);
+  std::this_thread::sleep_for(milliseconds(1000));
+  this->fleet.RestoreStore(copy);
+  std::this_thread::sleep_for(milliseconds(1000));
+  const std::size_t runs = this->fleet.GetRuns(*this->vms[1]).size();
+  for (int round = 0; round < 20; ++round) {
+    for (const MeshVm* vm : this->vms) {
+      if (vm != this->vms[1]) {
+        BOOST_TEST(this->LookUpStatus(*vm) == 200);
+      }
+    }
+  }
+  BOOST_TEST(this->fleet.GetRuns(*this->vms[1]).size() == runs);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace daisywinch::test
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -110,6 +110,7 @@
   BOOST_REQUIRE(target.has_value());
   BOOST_TEST(target->leaving);
   BOOST_TEST(target->born == 5);
+  BOOST_TEST(target->sequence == 1);
   BOOST_TEST((target->cold_left == std::chrono::milliseconds(250)));
   for (const char* bad :
        {"", "[]", "\x01\x02", R"({"Address":"x"})",
