--- a/src/coordination/mesh_directory.h
+++ b/src/coordination/mesh_directory.h
@@ -1,6 +1,7 @@
 #ifndef DAISYWINCH_COORDINATION_MESH_DIRECTORY_H
 #define DAISYWINCH_COORDINATION_MESH_DIRECTORY_H
 
+#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -105,7 +106,8 @@
     std::int64_t born = 0;
     std::uint64_t sequence = 0;
 
-    friend auto operator<=>(const TargetAge&, const TargetAge&) = default;
+    friend std::strong_ordering operator<=>(const TargetAge&,
+                                            const TargetAge&) = default;
   };
 
   /// What the store last reported of a target.
--- a/src/state/store_position.h
+++ b/src/state/store_position.h
@@ -16,7 +16,8 @@
   std::uint64_t era = 0;
   std::uint64_t revision = 0;
 
-  friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
+  friend std::strong_ordering operator<=>(const StorePosition&,
+                                          const StorePosition&) = default;
 };
 
 }  // namespace daisywinch
