Compare positions with plain operators

No change in behaviour: store_restore_targets, store_restore_operators, store_feed, store_watcher and mesh_directory pass.

--- a/src/coordination/mesh_directory.cc
+++ b/src/coordination/mesh_directory.cc
@@ -65,15 +65,15 @@
   const TargetReport& last =
       is_removed ? removal->second.report : report->second;
   if (position.era <= last.position.era) {
-    if (position > last.position) {
+    if (last.position < position) {
       this->ApplyTarget(target, position);
     }
-    return position >= last.position;
+    return !(position < last.position);
   }
   // Revisions don't compare with those of an earlier era, but the target's own
   // count goes on.
   const bool is_same = !is_removed && AgeOf(target) == last.age;
-  if (AgeOf(target) > last.age || is_same) {
+  if (last.age < AgeOf(target) || is_same) {
     this->ApplyTarget(target, position);
     return true;
   }
@@ -93,8 +93,8 @@
 void MeshDirectory::HoldTarget(const MeshTarget& target,
                                const StorePosition& position,
                                TimePoint now) {
-  const auto [entry, is_new] =
-      this->held.try_emplace(target.id, target, position, now + kHoldTime);
+  const auto [entry, is_new] = this->held.try_emplace(
+      target.id, HeldTarget{target, position, now + kHoldTime});
   if (!is_new) {
     entry->second.target = target;
     entry->second.position = position;
@@ -200,7 +200,7 @@
   });
   for (const std::string& data_centre : std::set(this->evacuated)) {
     const EvacuationReport& report = this->evacuation_reports[data_centre];
-    if (record_revisions.contains(data_centre) || report.position > position) {
+    if (record_revisions.contains(data_centre) || position < report.position) {
       continue;
     }
     if (report.position.era == position.era) {
@@ -221,7 +221,7 @@
   }
   const EvacuationReport& report = found->second;
   if (written.era <= report.position.era) {
-    if (written > report.position) {
+    if (report.position < written) {
       this->SetEvacuated(data_centre, true, written);
     }
     return;
@@ -239,8 +239,8 @@
                                     bool is_evacuated,
                                     const StorePosition& position,
                                     TimePoint now) {
-  this->deferred_evacuations.try_emplace(data_centre, is_evacuated, position,
-                                         now + kHoldTime);
+  this->deferred_evacuations.try_emplace(
+      data_centre, DeferredEvacuation{is_evacuated, position, now + kHoldTime});
 }
 
 void MeshDirectory::MarkStoreRestored(TimePoint now) {
--- a/src/coordination/mesh_directory.h
+++ b/src/coordination/mesh_directory.h
@@ -1,7 +1,6 @@
 #ifndef DAISYWINCH_COORDINATION_MESH_DIRECTORY_H
 #define DAISYWINCH_COORDINATION_MESH_DIRECTORY_H
 
-#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -9,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -106,8 +106,11 @@
     std::int64_t born = 0;
     std::uint64_t sequence = 0;
 
-    friend std::strong_ordering operator<=>(const TargetAge&,
-                                            const TargetAge&) = default;
+    friend bool operator==(const TargetAge&, const TargetAge&) = default;
+    friend bool operator<(const TargetAge& left, const TargetAge& right) {
+      return std::tie(left.born, left.sequence) <
+             std::tie(right.born, right.sequence);
+    }
   };
 
   /// What the store last reported of a target.
--- a/src/node/store_watcher.cc
+++ b/src/node/store_watcher.cc
@@ -511,7 +511,7 @@
   bool has_applied = false;
   for (const StoreItem& item : items) {
     const StorePosition position = {item_era, item.revision};
-    if (position > progress.last_unconnected) {
+    if (progress.last_unconnected < position) {
       this->ApplyItem(item, item_era);
       progress.last_unconnected = position;
       has_applied = true;
--- a/src/state/store_position.h
+++ b/src/state/store_position.h
@@ -1,8 +1,8 @@
 #ifndef DAISYWINCH_STATE_STORE_POSITION_H
 #define DAISYWINCH_STATE_STORE_POSITION_H
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace daisywinch {
 
@@ -16,8 +16,11 @@
   std::uint64_t era = 0;
   std::uint64_t revision = 0;
 
-  friend std::strong_ordering operator<=>(const StorePosition&,
-                                          const StorePosition&) = default;
+  friend bool operator==(const StorePosition&, const StorePosition&) = default;
+  friend bool operator<(const StorePosition& left, const StorePosition& right) {
+    return std::tie(left.era, left.revision) <
+           std::tie(right.era, right.revision);
+  }
 };
 
 }  // namespace daisywinch
