Report the requests that a stop cancels

Operators would not have learnt from the log that a stop took requests away: since requests that are still in progress shortly before the deadline are cancelled and answered, none was left at the end, and event 1005 was not written.

HttpServer::ShutDown() returns how many it cancelled, and 1005 reports them. The count of requests in progress has no reader left and is gone.

--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -302,18 +302,18 @@
   const Duration serving_time = std::min<Duration>(
       kMaxServingTime,
       std::chrono::duration_cast<Duration>(time_left * kServingFraction));
-  co_await asio::co_spawn(
+  const int cancelled_requests = co_await asio::co_spawn(
       this->traffic_context,
       this->ShutDownTraffic(started + serving_time, started + time_left),
       asio::use_awaitable);
   LogShutdownEnd(this->settings.vm, this->gate.CallsInProgress(),
-                 this->caller_server.RequestsInProgress());
+                 cancelled_requests);
   this->traffic_context.stop();
   this->control_context.stop();
 }
 
-Awaitable<> MeshNode::ShutDownTraffic(TimePoint refuse_from,
-                                      TimePoint deadline) {
+Awaitable<int> MeshNode::ShutDownTraffic(TimePoint refuse_from,
+                                         TimePoint deadline) {
   this->caller_server.AnnounceClose();
   ErrorCode ignored;
   Timer serving_end(this->traffic_context, refuse_from);
@@ -329,7 +329,7 @@
   // Until then, the local target may make nested calls.
   co_await WaitWhileBusy(this->traffic_context, is_gate_busy,
                          deadline - kCallerShutdownTime);
-  co_await this->caller_server.ShutDown(deadline);
+  co_return co_await this->caller_server.ShutDown(deadline);
 }
 
 }  // namespace daisywinch
--- a/src/node/mesh_node.h
+++ b/src/node/mesh_node.h
@@ -44,7 +44,8 @@
   /// Serves until callers have had the time to move to other nodes, then
   /// refuses new requests and returns when all others have their responses, or
   /// at the deadline. Runs on the traffic thread.
-  Awaitable<> ShutDownTraffic(TimePoint refuse_from, TimePoint deadline);
+  /// Returns the number of requests that were cancelled.
+  Awaitable<int> ShutDownTraffic(TimePoint refuse_from, TimePoint deadline);
   /// Periodically sends this node's updates and, as a relay, the sums of other
   /// nodes' updates.
   Awaitable<> SendUpdates();
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -212,11 +212,11 @@
   // Until then, the local target may make nested calls.
   co_await WaitWhileBusy(this->control_context, is_gate_busy,
                          deadline - kCallerShutdownTime);
-  co_await asio::co_spawn(this->ingress_context,
-                          this->caller_server.ShutDown(deadline),
-                          asio::use_awaitable);
+  const int cancelled_requests = co_await asio::co_spawn(
+      this->ingress_context, this->caller_server.ShutDown(deadline),
+      asio::use_awaitable);
   LogShutdownEnd(this->settings.vm, this->gate.CallsInProgress(),
-                 this->caller_server.RequestsInProgress());
+                 cancelled_requests);
   this->ingress_context.stop();
   this->gate_context.stop();
   this->control_context.stop();
--- a/src/node/shutdown.h
+++ b/src/node/shutdown.h
@@ -20,7 +20,7 @@
                           TimePoint deadline);
 
 /// Logs that a node has shut down, and how many calls to its gate and requests
-/// to its ingress that interrupts.
+/// to its ingress were interrupted by the timeout.
 void LogShutdownEnd(const std::string& vm, int calls, int requests);
 
 }  // namespace daisywinch
--- a/src/state/event_log.cc
+++ b/src/state/event_log.cc
@@ -47,8 +47,8 @@
                      "No request is in progress; the process exits."},
     EventDescription{EventId::kShutdownTimedOut, kWarning, "shutdown-timed-out",
                      "Requests were still in progress when the shutdown "
-                     "timeout expired: calls at the gate, requests at the "
-                     "ingress."},
+                     "timeout expired: calls at the gate, and requests at the "
+                     "ingress, which were cancelled."},
     EventDescription{EventId::kPortUnavailable, kError, "port-unavailable",
                      "The node cannot listen on an address of its settings."},
     EventDescription{EventId::kNodeIsolated, kWarning, "node-isolated",
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -91,7 +91,7 @@
   return error;
 }
 
-Awaitable<> HttpServer::ShutDown(TimePoint deadline) {
+Awaitable<int> HttpServer::ShutDown(TimePoint deadline) {
   using State = Connection::State;
   const TimePoint started = BootTime::now();
   this->AnnounceClose();
@@ -99,6 +99,7 @@
   this->AcceptQueued(std::numeric_limits<std::size_t>::max());
   ErrorCode ignored;
   this->acceptor.close(ignored);
+  int cancelled_count = 0;
   while (!this->connections.empty() && BootTime::now() < deadline) {
     const TimePoint now = BootTime::now();
     for (const std::shared_ptr<Connection>& connection : this->connections) {
@@ -108,13 +109,16 @@
       if (is_idle && !connection->HasUnreadBytes()) {
         connection->stream.cancel();
       } else if (connection->cancellation &&
+                 !connection->cancellation->IsCancelled() &&
                  now >= deadline - kCancellationMargin) {
         connection->cancellation->Cancel();
+        ++cancelled_count;
       }
     }
     Timer timer(this->context, kShutdownCheckInterval);
     co_await timer.async_wait(Await(ignored));
   }
+  co_return cancelled_count;
 }
 
 Awaitable<> HttpServer::Accept() {
@@ -179,7 +183,6 @@
     if (!was_read) {
       break;
     }
-    ++this->requests_in_progress;
     keep_alive = request.keep_alive();
     connection->cancellation = std::make_shared<Cancellation>();
     asio::co_spawn(
@@ -195,7 +198,6 @@
     response.keep_alive(keep_alive);
     const bool was_written =
         co_await this->Write(*connection, std::move(response));
-    --this->requests_in_progress;
     keep_alive = keep_alive && was_written;
     connection->state = Connection::State::kNextRequest;
     this->connections.splice(this->connections.end(), this->connections,
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -1,7 +1,6 @@
 #ifndef DAISYWINCH_TRANSPORT_HTTP_SERVER_H
 #define DAISYWINCH_TRANSPORT_HTTP_SERVER_H
 
-#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -30,7 +29,7 @@
 /// one that has been idle for longest; if none is idle, it waits to be
 /// accepted.
 ///
-/// All methods but RequestsInProgress() run on the thread of the context.
+/// All methods run on the thread of the context.
 class HttpServer {
  public:
   /// Produces the response to one request. The cancellation fires when the
@@ -56,11 +55,9 @@
   /// Connections that wait in the accept queue are accepted first. Each request
   /// of which the first byte has arrived is handled and gets its response;
   /// connections without one are closed. Requests that are still in progress
-  /// shortly before the deadline are cancelled, so that they get a response.
-  Awaitable<> ShutDown(TimePoint deadline);
-
-  /// Number of requests whose response has not been written yet. Thread-safe.
-  int RequestsInProgress() const { return this->requests_in_progress; }
+  /// shortly before the deadline are cancelled, so that they get a response;
+  /// returns their number.
+  Awaitable<int> ShutDown(TimePoint deadline);
 
  private:
   struct Connection;
@@ -98,7 +95,6 @@
   Tcp::acceptor acceptor;
   /// Open connections; idle ones in the order in which they became idle.
   ConnectionList connections;
-  std::atomic<int> requests_in_progress = 0;
   bool is_closing_announced = false;
 };
 
