Give each HTTP server of the tests an address of its own

Four http_server cases failed with "connection refused" while another run of the tests was in progress: the fixture tried ports on 127.0.0.1 in turn, and after one failure to bind, HttpServer::Listen() fails for good, as its acceptor is open. The address now comes from the process id, as in the fleets, and a failure to listen ends the case.

--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -1,3 +1,5 @@
+#include <unistd.h>
+
 #include <functional>
 #include <memory>
 #include <optional>
@@ -26,6 +28,17 @@
 /// Larger than what the server reads at once.
 constexpr std::size_t kPipelinedSize = std::size_t{64} * 1024;
 
+/// A loopback address that no other server of the tests uses.
+Address MakeAddress() {
+  constexpr int kFirstPort = 20000;
+  constexpr int kHostCount = 250;
+  static int next_port = kFirstPort;
+  const int process = ::getpid();
+  return {"127.100." + std::to_string(process / kHostCount % kHostCount) + "." +
+              std::to_string(1 + process % kHostCount),
+          static_cast<std::uint16_t>(next_port++)};
+}
+
 /// A server whose responses repeat the path of the request. The path /wait is
 /// answered when the request is cancelled, /large with a large body.
 class ServerFixture {
@@ -39,12 +52,8 @@
                std::shared_ptr<Cancellation> cancellation) {
           return this->Handle(std::move(request), std::move(cancellation));
         });
-    for (int port = 20000; port < 30000; ++port) {
-      this->address = {"127.0.0.1", static_cast<std::uint16_t>(port)};
-      if (!this->server->Listen(this->address)) {
-        break;
-      }
-    }
+    this->address = MakeAddress();
+    BOOST_REQUIRE(!this->server->Listen(this->address));
   }
 
   ~ServerFixture() {
