Tell peers which calls a stopping node has not run

What callers saw: when a node stopped as planned, callers of other nodes got 502 for bookings that had never run, so that they could not send them again.

Cause: the call server was not shut down at all. Its connections ended with the process; frames that arrived after the last check, while the log was flushed, or that were on the way, were unread bytes at the end of the process, which resets the connection. The ingress cannot tell such a call from one that ran, and ends it as unknown. The reset can also discard replies. Connections in the accept queue were reset the same way. Besides, a node without callers of its own ended 0.3 s before its deadline although calls of peers were in progress.

Change: a gate that shuts down ends each connection without calls with a last frame, EndOfReplies: calls without a reply before it have not run and will not. The ingress ends these as refused, closes the connection, and sends them to other targets. CallServer::ShutDown() accepts what waits in the accept queue, ends the sent bytes behind the frame, and reads on until the peers have closed (0.5 s at most after the last call); calls that are left 0.1 s before the deadline are cancelled, so that they get replies. It runs beside HttpServer::ShutDown(), on both interfaces. A node without this change ignores the frame, sees the end of the connection and regards its calls as unknown, as before.

--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -9,6 +9,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/post.hpp>
 
 #include "node/shutdown.h"
@@ -328,7 +329,9 @@
   // Until then, the local target may make nested calls.
   co_await WaitWhileBusy(this->traffic_context, is_gate_busy,
                          deadline - kCallerShutdownTime);
-  co_await this->caller_server.ShutDown(deadline);
+  using asio::experimental::awaitable_operators::operator&&;
+  co_await (this->call_server.ShutDown(deadline) &&
+            this->caller_server.ShutDown(deadline));
 }
 
 }  // namespace daisywinch
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/post.hpp>
 
 #include "node/shutdown.h"
@@ -212,9 +213,13 @@
   // Until then, the local target may make nested calls.
   co_await WaitWhileBusy(this->control_context, is_gate_busy,
                          deadline - kCallerShutdownTime);
-  co_await asio::co_spawn(this->ingress_context,
-                          this->caller_server.ShutDown(deadline),
-                          asio::use_awaitable);
+  using asio::experimental::awaitable_operators::operator&&;
+  co_await (asio::co_spawn(this->gate_context,
+                           this->call_server.ShutDown(deadline),
+                           asio::use_awaitable) &&
+            asio::co_spawn(this->ingress_context,
+                           this->caller_server.ShutDown(deadline),
+                           asio::use_awaitable));
   LogShutdownEnd(this->settings.vm, this->gate.CallsInProgress(),
                  this->caller_server.RequestsInProgress());
   this->ingress_context.stop();
--- a/src/transport/call_client.cc
+++ b/src/transport/call_client.cc
@@ -200,6 +200,7 @@
 
 Awaitable<> CallClient::ReadReplies(std::shared_ptr<CallClient> self,
                                     std::shared_ptr<FrameStream> connection) {
+  RefusalReason reason = RefusalReason::kResponseLost;
   while (true) {
     std::optional<protocol::CallFrame> frame = co_await connection->Read();
     if (!frame) {
@@ -208,11 +209,14 @@
     WakeAll(self->liveness_waiters);
     if (frame->has_reply()) {
       self->HandleReply(std::move(*frame->mutable_reply()));
+    } else if (frame->has_end_of_replies()) {
+      connection->Close();
+      reason = RefusalReason::kDraining;
     }
   }
   if (self->stream == connection) {
     self->stream.reset();
-    self->FailPendingCalls();
+    self->FailPendingCalls(reason);
   }
 }
 
@@ -228,14 +232,13 @@
   call->completion_timer.cancel();
 }
 
-void CallClient::FailPendingCalls() {
+void CallClient::FailPendingCalls(RefusalReason reason) {
   for (auto& [call_id, call] : this->pending) {
     if (call->done) {
       continue;
     }
-    call->reply =
-        MakeRefusedReply(call->sent ? RefusalReason::kResponseLost
-                                    : RefusalReason::kTargetUnreachable);
+    call->reply = MakeRefusedReply(
+        call->sent ? reason : RefusalReason::kTargetUnreachable);
     call->done = true;
     call->completion_timer.cancel();
   }
--- a/src/transport/call_client.h
+++ b/src/transport/call_client.h
@@ -35,7 +35,8 @@
   ///
   /// Sets the call id and the remaining time of the request. The outcome of
   /// the reply is OUTCOME_NOT_RUN only if no byte of the request was handed to
-  /// the operating system, or if the gate reported it.
+  /// the operating system, or if the gate reported it, also by the end of its
+  /// replies.
   Awaitable<protocol::CallReply> Call(
       protocol::CallRequest request,
       TimePoint deadline,
@@ -79,7 +80,8 @@
   Awaitable<> ReadReplies(std::shared_ptr<CallClient> self,
                           std::shared_ptr<FrameStream> connection);
   void HandleReply(protocol::CallReply reply);
-  void FailPendingCalls();
+  /// Ends the calls that were sent with `reason`, and the others as not run.
+  void FailPendingCalls(RefusalReason reason);
 
   asio::io_context& context;
   asio::ssl::context* tls;
--- a/src/transport/call_server.cc
+++ b/src/transport/call_server.cc
@@ -1,5 +1,6 @@
 #include "transport/call_server.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -15,6 +16,13 @@
 constexpr std::chrono::milliseconds kHandshakeTimeout{2000};
 constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
 constexpr std::size_t kMaxConnections = 4096;
+/// Maximum time for which a shutdown waits, after the last call, for the peers
+/// to close their connections.
+constexpr std::chrono::milliseconds kLingerTime{500};
+/// Time before the deadline of a shutdown at which the calls in progress are
+/// cancelled.
+constexpr std::chrono::milliseconds kCancellationMargin{100};
+constexpr std::chrono::milliseconds kShutdownCheckInterval{10};
 
 }  // namespace
 
@@ -29,35 +37,63 @@
       acceptor(context) {}
 
 ErrorCode CallServer::Listen(const Address& address) {
-  const ErrorCode error = ListenOn(this->acceptor, address);
+  ErrorCode error = ListenOn(this->acceptor, address);
+  if (!error) {
+    this->acceptor.non_blocking(true, error);
+  }
   if (!error) {
     asio::co_spawn(this->context, this->Accept(), asio::detached);
   }
   return error;
 }
 
-void CallServer::StopAccepting() {
+Awaitable<> CallServer::ShutDown(TimePoint deadline) {
+  this->is_shutting_down = true;
+  // Closing the socket would reset the connections that are left.
+  this->AcceptQueued();
   ErrorCode ignored;
   this->acceptor.close(ignored);
-}
-
-void CallServer::CloseConnections() {
   for (const std::shared_ptr<Connection>& connection : this->connections) {
-    connection->stream->Close();
+    this->EndIfIdle(*connection);
+  }
+  TimePoint end = std::min<TimePoint>(deadline, BootTime::now() + kLingerTime);
+  while (!this->connections.empty() && BootTime::now() < end) {
+    const TimePoint now = BootTime::now();
+    if (this->calls_in_progress > 0) {
+      end = std::min<TimePoint>(deadline, now + kLingerTime);
+    }
+    for (const std::shared_ptr<Connection>& connection : this->connections) {
+      for (const auto& [call_id, cancellation] : connection->calls) {
+        if (now >= deadline - kCancellationMargin) {
+          cancellation->Cancel();
+        }
+      }
+    }
+    Timer timer(this->context, kShutdownCheckInterval);
+    co_await timer.async_wait(Await(ignored));
   }
 }
 
 Awaitable<> CallServer::Accept() {
   while (this->acceptor.is_open()) {
     ErrorCode error;
-    Tcp::socket socket(this->context);
-    co_await this->acceptor.async_accept(socket, Await(error));
-    if (error) {
+    co_await this->acceptor.async_wait(Tcp::acceptor::wait_read, Await(error));
+    if (!this->acceptor.is_open()) {
+      co_return;
+    }
+    if (error || !this->AcceptQueued()) {
       Timer timer(this->context, kAcceptRetryDelay);
       co_await timer.async_wait(Await(error));
-      continue;
     }
-    if (this->connections.size() >= kMaxConnections) {
+  }
+}
+
+bool CallServer::AcceptQueued() {
+  ErrorCode error;
+  while (!error) {
+    Tcp::socket socket(this->context);
+    this->acceptor.accept(socket, error);
+    if (error || this->connections.size() >= kMaxConnections) {
       continue;
     }
     const std::shared_ptr<Connection> connection =
@@ -66,37 +102,39 @@
         std::move(socket), this->tls, this->size_limit);
     asio::co_spawn(this->context, this->Serve(connection), asio::detached);
   }
+  return error == asio::error::would_block ||
+         error == asio::error::connection_aborted;
+}
+
+void CallServer::EndIfIdle(Connection& connection) const {
+  if (!this->is_shutting_down || !connection.is_authenticated ||
+      connection.has_ended || !connection.calls.empty()) {
+    return;
+  }
+  connection.has_ended = true;
+  protocol::CallFrame frame;
+  frame.mutable_end_of_replies();
+  connection.stream->SendLast(frame);
 }
 
 Awaitable<> CallServer::Serve(std::shared_ptr<Connection> connection) {
   const auto position =
       this->connections.insert(this->connections.end(), connection);
-  const bool is_authenticated =
+  connection->is_authenticated =
       co_await connection->stream->Accept(kHandshakeTimeout);
-  if (!is_authenticated) {
+  if (!connection->is_authenticated) {
     ++this->rejected_connections;
     LogEvent(EventId::kPeerRejected, {{"port", "peer"}});
   }
-  while (is_authenticated) {
+  this->EndIfIdle(*connection);
+  while (connection->is_authenticated) {
     std::optional<protocol::CallFrame> frame =
         co_await connection->stream->Read();
     if (!frame) {
       break;
     }
-    if (frame->has_request()) {
-      asio::co_spawn(
-          this->context,
-          this->HandleCall(connection, std::move(*frame->mutable_request())),
-          asio::detached);
-    } else if (frame->has_ping()) {
-      protocol::CallFrame pong;
-      pong.mutable_pong()->set_nonce(frame->ping().nonce());
-      connection->stream->Send(pong);
-    } else if (frame->has_cancel()) {
-      const auto call = connection->calls.find(frame->cancel().call_id());
-      if (call != connection->calls.end()) {
-        call->second->Cancel();
-      }
+    if (!connection->has_ended) {
+      this->HandleFrame(connection, std::move(*frame));
     }
   }
   for (const auto& [call_id, cancellation] : connection->calls) {
@@ -105,6 +143,25 @@
   this->connections.erase(position);
 }
 
+void CallServer::HandleFrame(const std::shared_ptr<Connection>& connection,
+                             protocol::CallFrame frame) {
+  if (frame.has_request()) {
+    asio::co_spawn(
+        this->context,
+        this->HandleCall(connection, std::move(*frame.mutable_request())),
+        asio::detached);
+  } else if (frame.has_ping()) {
+    protocol::CallFrame pong;
+    pong.mutable_pong()->set_nonce(frame.ping().nonce());
+    connection->stream->Send(pong);
+  } else if (frame.has_cancel()) {
+    const auto call = connection->calls.find(frame.cancel().call_id());
+    if (call != connection->calls.end()) {
+      call->second->Cancel();
+    }
+  }
+}
+
 Awaitable<> CallServer::HandleCall(std::shared_ptr<Connection> connection,
                                    protocol::CallRequest request) {
   const std::uint64_t call_id = request.call_id();
@@ -119,6 +176,7 @@
   connection->calls.erase(call_id);
   connection->stream->Send(frame, nullptr,
                            [this] { --this->calls_in_progress; });
+  this->EndIfIdle(*connection);
 }
 
 }  // namespace daisywinch
--- a/src/transport/call_server.h
+++ b/src/transport/call_server.h
@@ -31,9 +31,13 @@
   /// Starts to listen; returns the error if the address cannot be bound.
   ErrorCode Listen(const Address& address);
 
-  /// Accepts no new connections; open ones stay so that replies can be sent.
-  void StopAccepting();
-  void CloseConnections();
+  /// Stops listening and returns when the peers have closed all connections, or
+  /// at the deadline.
+  ///
+  /// The handler gets the calls that arrive until a connection has none in
+  /// progress; the peer learns that later ones have not run. Calls that are
+  /// still in progress shortly before the deadline are cancelled.
+  Awaitable<> ShutDown(TimePoint deadline);
 
   /// Number of calls whose reply has not been written yet. Thread-safe.
   int CallsInProgress() const { return this->calls_in_progress; }
@@ -49,9 +53,19 @@
   struct Connection {
     std::shared_ptr<FrameStream> stream;
     std::unordered_map<std::uint64_t, std::shared_ptr<Cancellation>> calls;
+    bool is_authenticated = false;
+    /// Calls that arrive from now on are not handled.
+    bool has_ended = false;
   };
 
   Awaitable<> Accept();
+  /// Accepts the connections in the accept queue. Returns false if that failed,
+  /// such as for lack of file descriptors.
+  bool AcceptQueued();
+  /// Ends the replies on a connection without calls during a shutdown.
+  void EndIfIdle(Connection& connection) const;
+  void HandleFrame(const std::shared_ptr<Connection>& connection,
+                   protocol::CallFrame frame);
   Awaitable<> Serve(std::shared_ptr<Connection> connection);
   Awaitable<> HandleCall(std::shared_ptr<Connection> connection,
                          protocol::CallRequest request);
@@ -64,6 +78,7 @@
   std::list<std::shared_ptr<Connection>> connections;
   std::atomic<int> calls_in_progress = 0;
   std::uint64_t rejected_connections = 0;
+  bool is_shutting_down = false;
 };
 
 }  // namespace daisywinch
--- a/src/transport/frame_stream.cc
+++ b/src/transport/frame_stream.cc
@@ -121,6 +121,13 @@
   }
 }
 
+void FrameStream::SendLast(const protocol::CallFrame& frame) {
+  this->Send(frame, nullptr, [self = this->shared_from_this()] {
+    ErrorCode ignored;
+    self->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  });
+}
+
 Awaitable<> FrameStream::WriteQueue(std::shared_ptr<FrameStream> self) {
   while (!this->queue.empty() && !this->closed) {
     std::string bytes;
--- a/src/transport/frame_stream.h
+++ b/src/transport/frame_stream.h
@@ -51,6 +51,9 @@
             std::function<bool()> should_send = nullptr,
             std::function<void()> on_finished = nullptr);
 
+  /// Queues a frame as the last one; reading goes on.
+  void SendLast(const protocol::CallFrame& frame);
+
   void Close();
   bool IsClosed() const { return this->closed; }
 
--- a/tests/end_to_end/planned_stop_test.cc
+++ b/tests/end_to_end/planned_stop_test.cc
@@ -137,6 +137,19 @@
     BOOST_TEST((status == 0), vm.name << " did not shut down");
   }
 
+  /// Restarts a node that then calls the other nodes without their proxies,
+  /// which accept connections for nodes that are down.
+  void RestartWithoutPeerProxy(MeshVm& vm) {
+    vm.node_process->Signal(SIGTERM);
+    this->CheckExit(vm);
+    boost::json::object settings = this->fleet.MakeSettings(vm);
+    settings["peer_port"] = vm.peer_address.port;
+    this->fleet.WriteSettings(vm, boost::json::serialize(settings));
+    this->fleet.RunNode(vm);
+    BOOST_REQUIRE(WaitUntil([&] { return this->fleet.IsReady(vm); },
+                            std::chrono::seconds(10)));
+  }
+
   MeshFleet fleet;
 };
 
@@ -178,6 +191,28 @@
   this->CheckAttempts(callers.Stop());
 }
 
+// A refusal in place of such a response lets the caller send a booking again.
+BOOST_AUTO_TEST_CASE(calls_that_a_stopping_node_did_not_run_are_refused) {
+  constexpr int kRounds = 4;
+  this->SetServiceTime(milliseconds(1));
+  this->RestartWithoutPeerProxy(this->Vm(2));
+  CallerGroup callers(this->Vm(2), 12, milliseconds(25));
+  for (int round = 0; round < kRounds; ++round) {
+    std::this_thread::sleep_for(milliseconds(1000));
+    this->Vm(0).node_process->Signal(SIGTERM);
+    this->CheckExit(this->Vm(0));
+    this->fleet.StartNode(this->Vm(0));
+  }
+  const std::vector<Attempt> attempts = callers.Stop();
+  std::map<std::string, int> runs = this->CountRuns();
+  for (const Attempt& attempt : attempts) {
+    const bool is_unknown = attempt.status == 502 || attempt.status == 504;
+    BOOST_TEST(!(is_unknown && runs[attempt.id] == 0),
+               attempt.id << " did not run and got " << attempt.status);
+  }
+  BOOST_TEST(this->CheckAttempts(attempts) > 0);
+}
+
 BOOST_AUTO_TEST_CASE(overlapping_restarts_lose_no_request) {
   for (const std::uint64_t seed : ChooseSeeds(kDefaultSeeds)) {
     BOOST_TEST_CONTEXT("seed " << seed) {
