Register a call before its coroutine starts

A connection that has no calls may be ended during a shutdown, and the peer then takes its calls for not run. A call was registered by its own coroutine; if that did not start at once, the connection counted as without calls in between and the call would have run all the same. Found by reading; no run shows it.

--- a/src/transport/call_server.cc
+++ b/src/transport/call_server.cc
@@ -146,9 +146,16 @@
 void CallServer::HandleFrame(const std::shared_ptr<Connection>& connection,
                              protocol::CallFrame frame) {
   if (frame.has_request()) {
+    // Registered before the coroutine starts, as a connection without calls may
+    // be ended at any time.
+    const std::shared_ptr<Cancellation> cancellation =
+        std::make_shared<Cancellation>();
+    connection->calls[frame.request().call_id()] = cancellation;
+    ++this->calls_in_progress;
     asio::co_spawn(
         this->context,
-        this->HandleCall(connection, std::move(*frame.mutable_request())),
+        this->HandleCall(connection, std::move(*frame.mutable_request()),
+                         cancellation),
         asio::detached);
   } else if (frame.has_ping()) {
     protocol::CallFrame pong;
@@ -163,12 +170,9 @@
 }
 
 Awaitable<> CallServer::HandleCall(std::shared_ptr<Connection> connection,
-                                   protocol::CallRequest request) {
+                                   protocol::CallRequest request,
+                                   std::shared_ptr<Cancellation> cancellation) {
   const std::uint64_t call_id = request.call_id();
-  const std::shared_ptr<Cancellation> cancellation =
-      std::make_shared<Cancellation>();
-  connection->calls[call_id] = cancellation;
-  ++this->calls_in_progress;
   protocol::CallFrame frame;
   *frame.mutable_reply() =
       co_await this->handler(std::move(request), cancellation);
--- a/src/transport/call_server.h
+++ b/src/transport/call_server.h
@@ -68,7 +68,8 @@
                    protocol::CallFrame frame);
   Awaitable<> Serve(std::shared_ptr<Connection> connection);
   Awaitable<> HandleCall(std::shared_ptr<Connection> connection,
-                         protocol::CallRequest request);
+                         protocol::CallRequest request,
+                         std::shared_ptr<Cancellation> cancellation);
 
   asio::io_context& context;
   asio::ssl::context* tls;
