Leave the limits of a planned stop some room

Found by a review, by reading; no run shows a lost request. The node served for 3.0 s from the handling of the signal, so that with a late timer it could take a request just after the 3 s in which the platform moves callers away, and cancel it at the end. 2.8 s are enough: two failed checks of readiness take at most 2 s. A grace period under 0.3 s left no time at all; the margin is now a quarter of it at most. The retry delay of a stopping node is for root requests only: nested calls are served and refused by other gates as usual.

--- a/src/node/mesh_ingress.cc
+++ b/src/node/mesh_ingress.cc
@@ -360,7 +360,7 @@
   if (reason == RefusalReason::kNotReady || call.route == nullptr) {
     return kNotReadyRetryDelay;
   }
-  if (this->is_draining) {
+  if (this->is_draining && call.is_root) {
     return kDrainingRetryDelay;
   }
   const Duration objective = ObjectiveOf(*call.route);
--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -31,12 +31,12 @@
 /// Time from the stop signal for which requests are served as before: the
 /// platform checks readiness once a second and stops traffic after two failed
 /// checks.
-constexpr std::chrono::milliseconds kMaxServingTime{3000};
+constexpr std::chrono::milliseconds kMaxServingTime{2800};
 /// The same as a fraction of the time until the process exits, if that is
 /// shorter. The rest is for the requests in progress.
 constexpr double kServingFraction = 0.6;
 /// Time before the end of the grace period at which the process exits even if
-/// requests are in progress.
+/// requests are in progress; at most a quarter of that period.
 constexpr std::chrono::milliseconds kGraceMargin{300};
 
 HttpLimits CallerServerLimits() {
@@ -299,7 +299,9 @@
   LogEvent(EventId::kShutdownStarted, {{"vm", this->settings.vm}});
   this->draining = true;
   const TimePoint started = this->clock.Now();
-  const Duration time_left = this->settings.bounds.grace - kGraceMargin;
+  const Duration grace = this->settings.bounds.grace;
+  const Duration time_left =
+      grace - std::min<Duration>(kGraceMargin, grace / 4);
   const Duration serving_time = std::min<Duration>(
       kMaxServingTime,
       std::chrono::duration_cast<Duration>(time_left * kServingFraction));
