--- a/tests/standins/store.cc
+++ b/tests/standins/store.cc
@@ -130,7 +130,8 @@
       this->compacted_revision = this->revision;
     }
   } else if (target.starts_with("/test/restore")) {
-    this->Restore(QueryNumber(target, "revision", this->revision));
+    this->Restore(QueryNumber(target, "revision",
+                              static_cast<std::int64_t>(this->revision)));
   }
   for (const std::weak_ptr<Timer>& weak_timer :
        std::exchange(this->watch_timers, {})) {
