--- a/tests/coordination/traffic_relay_test.cc
+++ b/tests/coordination/traffic_relay_test.cc
@@ -432,6 +432,28 @@
   }
 }
 
+// Such updates gave a rate of millions a second, and the next change of relay
+// a debt of as many requests.
+BOOST_AUTO_TEST_CASE(updates_that_arrive_together_cause_no_debt) {
+  RelayedCounts counts;
+  const auto apply = [&counts](std::uint64_t incarnation,
+                               std::uint64_t admitted, Duration time) {
+    TrafficSum sum;
+    sum.members = 3;
+    sum.customers["school"].admitted = admitted;
+    std::map<std::string, double> deltas;
+    const TimePoint start = TimePoint() + std::chrono::hours(1);
+    counts.ApplyCounts("relay", incarnation, sum, start + time, deltas);
+    return deltas["school"];
+  };
+  apply(1, 1000, Duration::zero());
+  apply(1, 1500, milliseconds(1000));
+  apply(1, 1600, milliseconds(1000) + std::chrono::microseconds(50));
+  // The restarted relay has no counts to compare with. It reported 600 requests
+  // in the second before.
+  BOOST_TEST(apply(2, 3, milliseconds(1200)) <= 600);
+}
+
 // All 87 nodes restarted while a customer's demand was four times its rate.
 // Until the first updates had been exchanged, each node spent the whole burst.
 BOOST_AUTO_TEST_CASE(restart_of_all_nodes_keeps_the_bound) {
--- a/tests/transport/call_shutdown_test.cc
+++ b/tests/transport/call_shutdown_test.cc
@@ -48,8 +48,7 @@
 
   /// Starts a call that takes the given time; returns its reply slot.
   ReplySlot Call(milliseconds time) {
-    const ReplySlot reply =
-        std::make_shared<std::optional<protocol::CallReply>>();
+    ReplySlot reply = std::make_shared<std::optional<protocol::CallReply>>();
     asio::co_spawn(this->context, this->Exchange(time, reply), asio::detached);
     return reply;
   }
