Log and report what targets state about themselves

The log could not show that a target states a maximum rate or that it leaves, so that nobody could tell whether nodes keep to it. The gate now reads both fields, from responses that belong to a request or a health check. TargetNotices tracks them: a statement holds until a response to a later request lacks it, or until another run of the target is registered. Events 4003 and 4004, the status of the gate and two metrics report it. Nothing is decided by it yet.

A field with several values, or a rate that isn't a finite number of at least 0, says nothing: what was stated before still holds.

--- a/src/node/mesh_gate.cc
+++ b/src/node/mesh_gate.cc
@@ -22,6 +22,9 @@
 constexpr std::uint64_t kBodyLimit = 64ULL * 1024 * 1024;
 constexpr std::chrono::milliseconds kHealthInterval{250};
 constexpr std::chrono::milliseconds kHealthTimeout{1000};
+/// Minimum interval between log lines about the rate that the target states.
+constexpr std::chrono::seconds kMaxRateLogInterval{1};
+
 }  // namespace
 
 MeshGate::MeshGate(asio::io_context& context,
@@ -74,6 +77,7 @@
   const TimePoint now = this->clock.Now();
   this->admission.SetSlots(this->local_target->slots);
   this->cold_state.UpdateRecord(*this->local_target, now);
+  this->notices.UpdateRecord(*this->local_target);
   if (was_evacuated &&
       !this->view->IsEvacuated(this->local_target->data_centre)) {
     // The target may have been restarted while its data centre was evacuated.
@@ -212,7 +216,8 @@
       cancellation);
   const TimePoint ended = this->clock.Now();
   const bool was_known = this->cold_state.ColdUntil().has_value();
-  protocol::CallReply reply = this->MakeReply(request.attempt_id(), exchange);
+  protocol::CallReply reply =
+      this->MakeReply(request.attempt_id(), started, exchange);
   if (was_known && !this->cold_state.ColdUntil()) {
     // Checks at once, as the target gets few calls until its state is known.
     this->health_timer.cancel();
@@ -230,6 +235,7 @@
 }
 
 protocol::CallReply MeshGate::MakeReply(const std::string& attempt_id,
+                                        TimePoint sent_at,
                                         TargetExchange& exchange) {
   const TimePoint now = this->clock.Now();
   if (exchange.connection_dropped) {
@@ -255,10 +261,12 @@
     case TargetExchange::End::kAnswered:
       switch (platform::ClassifyResponse(exchange.response, attempt_id)) {
         case platform::ResponseClass::kAnswered:
+          this->RecordNotice(exchange.response, sent_at);
           reply.set_outcome(protocol::OUTCOME_ANSWERED);
           platform::MoveToReply(exchange.response, reply);
           break;
         case platform::ResponseClass::kNotRun:
+          this->RecordNotice(exchange.response, sent_at);
           reply = MakeRefusedReply(RefusalReason::kShedByTarget);
           break;
         case platform::ResponseClass::kOtherTarget:
@@ -276,6 +284,17 @@
   return reply;
 }
 
+void MeshGate::RecordNotice(const HttpResponse& response, TimePoint sent_at) {
+  const std::optional<TargetNotice> notice =
+      platform::ReadTargetNotice(response);
+  if (!notice) {
+    return;
+  }
+  const TimePoint now = this->clock.Now();
+  this->notices.Record(*notice, sent_at, now);
+  this->LogNoticeChange(now);
+}
+
 Awaitable<> MeshGate::RunHealthChecks() {
   while (true) {
     this->health_timer.expires_after(kHealthInterval);
@@ -283,8 +302,9 @@
     co_await this->health_timer.async_wait(Await(ignored));
     this->RefreshView();
     const bool is_in_use = this->local_target != nullptr && !this->draining;
-    if (is_in_use && this->cold_state.NeedsCheck() &&
-        !this->health_path.empty()) {
+    const bool needs_check = this->cold_state.NeedsCheck() ||
+                             this->notices.NeedsCheck(this->clock.Now());
+    if (is_in_use && needs_check && !this->health_path.empty()) {
       co_await this->CheckHealthOnce();
       this->LogColdStateChange();
       this->StartQueuedCalls();
@@ -293,19 +313,23 @@
 }
 
 Awaitable<> MeshGate::CheckHealthOnce() {
+  const TimePoint sent_at = this->clock.Now();
   TargetExchange exchange = co_await this->target.Send(
-      platform::MakeHealthRequest(this->health_path),
-      this->clock.Now() + kHealthTimeout, std::make_shared<Cancellation>());
+      platform::MakeHealthRequest(this->health_path), sent_at + kHealthTimeout,
+      std::make_shared<Cancellation>());
   if (exchange.end != TargetExchange::End::kAnswered) {
     co_return;
   }
   const platform::HealthResponse answer =
       platform::ReadHealthResponse(exchange.response);
-  const bool is_local_target = this->local_target != nullptr &&
-                               answer.target_id == this->local_target->id;
-  if (is_local_target) {
+  const std::string local_id = this->LocalTargetId();
+  if (answer.target_id == local_id) {
     this->cold_state.RecordHealth(answer.cold_left, this->clock.Now());
   }
+  // A target that isn't healthy may not name itself.
+  if (answer.target_id.empty() || answer.target_id == local_id) {
+    this->RecordNotice(exchange.response, sent_at);
+  }
 }
 
 void MeshGate::LogColdStateChange() {
@@ -318,6 +342,34 @@
   }
 }
 
+std::string MeshGate::LocalTargetId() const {
+  return this->local_target == nullptr ? "" : this->local_target->id;
+}
+
+void MeshGate::LogNoticeChange(TimePoint now) {
+  const std::optional<double> max_rate = this->notices.MaxRate();
+  if (max_rate != this->logged_max_rate &&
+      now - this->max_rate_logged_at >= kMaxRateLogInterval) {
+    this->logged_max_rate = max_rate;
+    this->max_rate_logged_at = now;
+    LogEvent(
+        EventId::kTargetMaxRateChanged,
+        {{"target", this->LocalTargetId()},
+         {"rate", max_rate ? std::to_string(*max_rate) : "none"},
+         {"in_flight", static_cast<std::uint64_t>(this->admission.InFlight())},
+         {"queued", static_cast<std::uint64_t>(this->admission.Queued())}});
+  }
+  if (this->notices.IsLeaving() != this->logged_leaving) {
+    this->logged_leaving = this->notices.IsLeaving();
+    LogEvent(EventId::kTargetStatesLeaving,
+             {{"target", this->LocalTargetId()},
+              {"leaving", this->logged_leaving ? "true" : "false"},
+              {"record", this->local_target == nullptr ? "none"
+                         : this->local_target->leaving ? "leaving"
+                                                       : "ready"}});
+  }
+}
+
 void MeshGate::LogFailedCall(const std::string& attempt_id,
                              const protocol::CallReply& reply,
                              Duration waited) {
@@ -331,7 +383,7 @@
   LogEvent(
       EventId::kCallEnded,
       {{"request", attempt_id},
-       {"target", this->local_target == nullptr ? "" : this->local_target->id},
+       {"target", this->LocalTargetId()},
        {"outcome",
         reply.outcome() == protocol::OUTCOME_NOT_RUN ? "not-run" : "unknown"},
        {"reason", reply.reason()},
@@ -351,10 +403,30 @@
           {"limit", this->admission.Limit()},
           {"usable_slots", this->admission.UsableSlots()},
           {"cold", this->cold_state.IsCold(this->clock.Now())},
+          {"stated_rate", this->notices.MaxRate()
+                              ? boost::json::value(*this->notices.MaxRate())
+                              : boost::json::value()},
+          {"target_leaving", this->notices.IsLeaving()},
           {"connections", this->target.ConnectionCount()},
           {"draining", this->draining.load()}};
 }
 
+std::string MeshGate::ToPrometheusText() const {
+  std::string text =
+      "# HELP daisywinch_target_leaving Whether the target states that it "
+      "leaves.\n# TYPE daisywinch_target_leaving gauge\n"
+      "daisywinch_target_leaving ";
+  text += this->notices.IsLeaving() ? "1\n" : "0\n";
+  if (this->notices.MaxRate()) {
+    text +=
+        "# HELP daisywinch_target_max_rate Requests per second that the target "
+        "states to accept.\n# TYPE daisywinch_target_max_rate gauge\n"
+        "daisywinch_target_max_rate " +
+        std::to_string(*this->notices.MaxRate()) + "\n";
+  }
+  return text;
+}
+
 void MeshGate::AddLoad(protocol::CallReply& reply) const {
   protocol::GateLoad* load = reply.mutable_load();
   load->set_in_flight(this->admission.InFlight());
--- a/src/node/mesh_gate.h
+++ b/src/node/mesh_gate.h
@@ -19,6 +19,7 @@
 #include "state/mesh_view.h"
 #include "state/refusal.h"
 #include "state/route_cost_estimator.h"
+#include "state/target_notices.h"
 #include "transport/asio.h"
 #include "transport/cancellation.h"
 #include "transport/target_client.h"
@@ -39,7 +40,7 @@
            RouteCostEstimator& cost_estimator);
 
   /// Starts health checks, which are sent while it is uncertain whether the
-  /// target is cold.
+  /// target is cold, or whether what it last stated still holds.
   void Start();
 
   /// Handles one call: waits until the target has a free slot, sends the
@@ -60,6 +61,8 @@
   double UsableSlots();
   /// State of the gate for the operators' status page.
   boost::json::object Status() const;
+  /// What the target states about itself, in the Prometheus text format.
+  std::string ToPrometheusText() const;
 
  private:
   /// A queued call that waits for a slot.
@@ -88,7 +91,11 @@
       TimePoint deadline,
       std::shared_ptr<Cancellation> cancellation);
   protocol::CallReply MakeReply(const std::string& attempt_id,
+                                TimePoint sent_at,
                                 TargetExchange& exchange);
+  /// Applies what the target states in a response to a request that was sent at
+  /// `sent_at`.
+  void RecordNotice(const HttpResponse& response, TimePoint sent_at);
   void StartQueuedCalls();
   void EndWait(std::uint64_t id, RefusalReason result);
   /// Starts queued calls as soon as the rate limit of the cold target allows
@@ -96,7 +103,11 @@
   Awaitable<> PaceColdStart();
   Awaitable<> RunHealthChecks();
   Awaitable<> CheckHealthOnce();
+  /// Empty while the local target is not registered.
+  std::string LocalTargetId() const;
   void LogColdStateChange();
+  /// Logs a change of what the target states.
+  void LogNoticeChange(TimePoint now);
   /// Logs a call that was refused or failed, and the state that decided it.
   void LogFailedCall(const std::string& attempt_id,
                      const protocol::CallReply& reply,
@@ -117,11 +128,15 @@
   Timer health_timer;
   LogRateLimiter log_limiter;
   ColdStateTracker cold_state;
+  TargetNotices notices;
   GateAdmission admission;
   std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
   std::uint64_t next_waiter_id = 1;
   bool is_pacing = false;
   bool logged_cold = true;
+  std::optional<double> logged_max_rate;
+  TimePoint max_rate_logged_at;
+  bool logged_leaving = false;
   std::atomic<int> calls_in_progress = 0;
   std::atomic<bool> draining = false;
 };
--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -211,13 +211,14 @@
 
 Awaitable<HttpResponse> MeshNode::HandleOperatorRequest(HttpRequest request) {
   if (request.target() == "/metrics") {
-    const auto collect =
-        [](const MeshIngress& ingress) -> Awaitable<std::string> {
-      co_return ingress.Metrics().ToPrometheusText();
+    const auto collect = [](const MeshIngress& ingress,
+                            const MeshGate& gate) -> Awaitable<std::string> {
+      co_return ingress.Metrics().ToPrometheusText() + gate.ToPrometheusText();
     };
     co_return MakeTextResponse(
         http::status::ok,
-        co_await asio::co_spawn(this->traffic_context, collect(this->ingress),
+        co_await asio::co_spawn(this->traffic_context,
+                                collect(this->ingress, this->gate),
                                 asio::use_awaitable));
   }
   if (request.target() == "/status") {
--- a/src/platform/attempt_messages.cc
+++ b/src/platform/attempt_messages.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
+#include <set>
 #include <string_view>
 #include <utility>
 
@@ -22,6 +24,8 @@
 // Despite its name, this field contains the remaining time for which the target
 // is cold, not the duration of a whole cold start.
 constexpr char kColdLeft[] = "X-Daisywinch-Cold-Start-Ms";
+constexpr char kMaxRate[] = "Server-Limit";
+constexpr char kLeaving[] = "Server-Leaving";
 constexpr char kReason[] = "X-Daisywinch-Reason";
 constexpr std::string_view kBearerPrefix = "Bearer ";
 /// A status is a success if it is at least kFirstSuccess and below
@@ -39,6 +43,29 @@
   return number;
 }
 
+/// Values of a field, without repetitions.
+std::set<std::string_view> ValuesOf(const HttpResponse& response,
+                                    std::string_view name) {
+  std::set<std::string_view> values;
+  const auto [first, last] = response.equal_range(name);
+  for (auto field = first; field != last; ++field) {
+    values.insert(std::string_view(field->value()));
+  }
+  return values;
+}
+
+/// A finite decimal number of at least 0.
+std::optional<double> ParseRate(std::string_view text) {
+  double number = 0;
+  const char* end = text.data() + text.size();
+  const std::from_chars_result result =
+      std::from_chars(text.data(), end, number, std::chars_format::fixed);
+  const bool is_valid = !text.empty() && result.ec == std::errc() &&
+                        result.ptr == end && std::isfinite(number) &&
+                        number >= 0;
+  return is_valid ? std::optional<double>(number) : std::nullopt;
+}
+
 std::string ToMilliseconds(Duration duration) {
   const std::int64_t count =
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -126,6 +153,28 @@
   return ResponseClass::kAnswered;
 }
 
+std::optional<TargetNotice> ReadTargetNotice(const HttpResponse& response) {
+  const std::set<std::string_view> rates = ValuesOf(response, kMaxRate);
+  const std::set<std::string_view> leaving = ValuesOf(response, kLeaving);
+  if (rates.size() > 1 || leaving.size() > 1) {
+    return std::nullopt;
+  }
+  TargetNotice notice;
+  if (!rates.empty()) {
+    notice.max_rate = ParseRate(*rates.begin());
+    if (!notice.max_rate) {
+      return std::nullopt;
+    }
+  }
+  if (!leaving.empty()) {
+    if (*leaving.begin() != "0" && *leaving.begin() != "1") {
+      return std::nullopt;
+    }
+    notice.is_leaving = *leaving.begin() == "1";
+  }
+  return notice;
+}
+
 void MoveToReply(HttpResponse& response, protocol::CallReply& reply) {
   reply.set_status(response.result_int());
   RemoveHopByHopFields(response);
--- a/src/platform/attempt_messages.h
+++ b/src/platform/attempt_messages.h
@@ -6,6 +6,7 @@
 
 #include "protocol/generated/peer_messages.pb.h"
 #include "state/clock.h"
+#include "state/target_notices.h"
 #include "transport/http.h"
 
 namespace daisywinch::platform {
@@ -48,6 +49,11 @@
 ResponseClass ClassifyResponse(const HttpResponse& response,
                                const std::string& attempt_id);
 
+/// Reads what a target states about itself in any of its responses. Returns
+/// nothing if the fields can't be read: if the rate isn't a finite number of at
+/// least 0, or if a field has several values.
+std::optional<TargetNotice> ReadTargetNotice(const HttpResponse& response);
+
 /// Moves a target's response into a reply, without hop-by-hop fields.
 void MoveToReply(HttpResponse& response, protocol::CallReply& reply);
 
--- a/src/state/event_log.cc
+++ b/src/state/event_log.cc
@@ -135,6 +135,16 @@
                      "concurrency limit starts low."},
     EventDescription{EventId::kTargetWarm, kInformation, "target-warm",
                      "The target reached its full concurrency limit."},
+    EventDescription{EventId::kTargetMaxRateChanged, kWarning,
+                     "target-max-rate-changed",
+                     "The target states another maximum rate in its responses, "
+                     "in requests per second, or none any more; logged at most "
+                     "once per second."},
+    EventDescription{EventId::kTargetStatesLeaving, kInformation,
+                     "target-states-leaving",
+                     "The target states in its responses that it leaves, or "
+                     "another run of it no longer does; record says what the "
+                     "store has."},
     EventDescription{EventId::kAdmissionChanged, kInformation,
                      "admission-changed",
                      "The admitted fraction of a class of root requests "
--- a/src/state/event_log.h
+++ b/src/state/event_log.h
@@ -48,6 +48,8 @@
   kTrafficHeard = 3006,
   kTargetCold = 4001,
   kTargetWarm = 4002,
+  kTargetMaxRateChanged = 4003,
+  kTargetStatesLeaving = 4004,
   kAdmissionChanged = 5001,
   kCustomerOverRate = 5002,
   kRequestEnded = 6001,
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -185,6 +185,29 @@
       (platform::ClassifyResponse(other, "a") == ResponseClass::kOtherTarget));
 }
 
+BOOST_AUTO_TEST_CASE(statements_of_a_target_are_read) {
+  HttpResponse response;
+  BOOST_TEST(!platform::ReadTargetNotice(response)->max_rate.has_value());
+  BOOST_TEST(!platform::ReadTargetNotice(response)->is_leaving);
+  response.set("Server-Limit", "25.8");
+  response.set("Server-Leaving", "1");
+  BOOST_TEST(platform::ReadTargetNotice(response)->max_rate.value_or(0) ==
+             25.8);
+  BOOST_TEST(platform::ReadTargetNotice(response)->is_leaving);
+  response.set("Server-Limit", "0");
+  BOOST_TEST(platform::ReadTargetNotice(response)->max_rate.value_or(1) == 0);
+  for (const char* text :
+       {"", "-1", "nan", "inf", "1e400", "5x", "0x10", " "}) {
+    response.set("Server-Limit", text);
+    BOOST_TEST(!platform::ReadTargetNotice(response).has_value());
+  }
+  response.set("Server-Limit", "5");
+  response.insert("Server-Limit", "5");
+  BOOST_TEST(platform::ReadTargetNotice(response)->max_rate.value_or(0) == 5);
+  response.insert("Server-Limit", "6");
+  BOOST_TEST(!platform::ReadTargetNotice(response).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace daisywinch
--- a/tests/standins/attempt_target.cc
+++ b/tests/standins/attempt_target.cc
@@ -17,6 +17,8 @@
 constexpr char kSignature[] = "X-Daisywinch-Response-Signature";
 constexpr char kColdStart[] = "X-Daisywinch-Cold-Start-Ms";
 constexpr char kTimeoutBudget[] = "X-Daisywinch-Timeout-Budget-Ms";
+constexpr char kServerLimit[] = "Server-Limit";
+constexpr char kServerLeaving[] = "Server-Leaving";
 constexpr char kNestedCallHeader[] = "X-Onward";
 
 }  // namespace
@@ -50,6 +52,7 @@
   if (target == "/health") {
     HttpResponse response(http::status::ok, 11);
     response.set(kInstanceId, this->id);
+    this->AddNotice(response);
     if (this->remaining_cold_time > Duration::zero()) {
       response.set(
           kColdStart,
@@ -129,10 +132,20 @@
   HttpResponse response(status, 11);
   response.set(kAttemptId, std::string(request[kAttemptId]));
   response.set(kInstanceId, this->id);
+  this->AddNotice(response);
   response.prepare_payload();
   return response;
 }
 
+void AttemptTarget::AddNotice(HttpResponse& response) const {
+  if (!this->max_rate.empty()) {
+    response.set(kServerLimit, this->max_rate);
+  }
+  if (this->is_leaving) {
+    response.set(kServerLeaving, "1");
+  }
+}
+
 HttpResponse AttemptTarget::HandleTestRequest(const HttpRequest& request) {
   const std::string target(request.target());
   HttpResponse response(http::status::ok, 11);
@@ -146,6 +159,8 @@
     this->omits_signature = QueryNumber(target, "unsigned", 0) != 0;
     this->never_responds = QueryNumber(target, "hangs", 0) != 0;
     this->fails_requests = QueryNumber(target, "fails", 0) != 0;
+    this->max_rate = QueryText(target, "max_rate").value_or("");
+    this->is_leaving = QueryNumber(target, "leaving", 0) != 0;
   } else {
     boost::json::array log;
     for (const std::shared_ptr<Run>& run : this->runs) {
--- a/tests/standins/attempt_target.h
+++ b/tests/standins/attempt_target.h
@@ -48,6 +48,8 @@
   Awaitable<bool> SendNestedCall(const HttpRequest& request);
   HttpResponse HandleTestRequest(const HttpRequest& request);
   HttpResponse MakeResponse(const HttpRequest& request, http::status status);
+  /// Adds what the target states about itself in all its responses.
+  void AddNotice(HttpResponse& response) const;
 
   asio::io_context& context;
   Address address;
@@ -66,6 +68,10 @@
   /// Starts requests and does not respond to them for 60 seconds.
   bool never_responds = false;
   bool fails_requests = false;
+  /// Value of Server-Limit in all responses; empty for none.
+  std::string max_rate;
+  /// States in all responses that it leaves.
+  bool is_leaving = false;
   int nested_call_count = 0;
 };
 
--- a/tests/state/mesh_decisions_test.cc
+++ b/tests/state/mesh_decisions_test.cc
@@ -15,6 +15,7 @@
 #include "state/mesh_view.h"
 #include "state/return_schedule.h"
 #include "state/slot_queue.h"
+#include "state/target_notices.h"
 #include "state/weighted_service_chooser.h"
 
 namespace daisywinch {
@@ -114,6 +115,37 @@
   BOOST_TEST(limiter.CanSend(*limiter.NextSendTime(kStart)));
 }
 
+BOOST_AUTO_TEST_CASE(statement_of_a_target_holds_until_a_later_response) {
+  TargetNotices notices;
+  MeshTarget target = MakeTarget("i-1", "east");
+  target.born = 5;
+  notices.UpdateRecord(target);
+  notices.Record({12.5, true}, kStart, kStart + milliseconds(50));
+  // The response to an earlier request was delayed.
+  notices.Record({}, kStart + milliseconds(20), kStart + milliseconds(60));
+  BOOST_TEST(notices.MaxRate().value_or(0) == 12.5);
+  BOOST_TEST(notices.IsLeaving());
+  BOOST_TEST(!notices.NeedsCheck(kStart + milliseconds(500)));
+  BOOST_TEST(notices.NeedsCheck(kStart + milliseconds(1100)));
+  notices.Record({}, kStart + milliseconds(70), kStart + milliseconds(80));
+  BOOST_TEST(!notices.MaxRate().has_value());
+  BOOST_TEST(!notices.IsLeaving());
+}
+
+BOOST_AUTO_TEST_CASE(statement_of_a_target_ends_with_its_run) {
+  TargetNotices notices;
+  MeshTarget target = MakeTarget("i-1", "east");
+  notices.UpdateRecord(target);
+  notices.Record({3.0, true}, kStart, kStart);
+  target.sequence = 9;
+  notices.UpdateRecord(target);
+  BOOST_TEST(notices.IsLeaving());
+  target.born = 77;
+  notices.UpdateRecord(target);
+  BOOST_TEST(!notices.IsLeaving());
+  BOOST_TEST(!notices.MaxRate().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(nested_calls_precede_roots_in_priority_order) {
   SlotQueue queue(10);
   const TimePoint later = kStart + std::chrono::seconds(1);
