Keep to the rate that a target states in its responses

A target in need that stated the requests per second it takes from all VMs together went on getting what it got before: 179 in 4 s at 25.8 per second.

Cause: nothing read the statement, and a rate was known only for cold targets. All requests to a target pass its gate, so that the bound over all nodes is kept there. The gate's cold rate limit becomes the rate limit of the target, the lower one of the cold and the stated rate; its window now holds a whole number of requests, so that fractional rates are kept too, and health checks count. A gate alone would refuse late: calls that would wait longer than half a second for the rate are refused at once, replies say the rate and how long a call would wait, ingresses add that to the expected time of a target, and the usable slots, by which roots are admitted, follow the rate. Refusals because of the rate are no lack of slots.

A restarted gate knows no statement before the first health response. Until then the target counts as cold, as before.

--- a/src/node/mesh_gate.cc
+++ b/src/node/mesh_gate.cc
@@ -93,6 +93,11 @@
   }
 }
 
+void MeshGate::UpdateAdmission(TimePoint now) {
+  this->admission.SetState(this->cold_state.IsCold(now),
+                           this->notices.MaxRate());
+}
+
 RefusalReason MeshGate::ReasonToRefuse() const {
   if (this->local_target == nullptr) {
     return RefusalReason::kNotReady;
@@ -104,7 +109,7 @@
 }
 
 double MeshGate::UsableSlots() {
-  this->admission.SetCold(this->cold_state.IsCold(this->clock.Now()));
+  this->UpdateAdmission(this->clock.Now());
   return this->ReasonToRefuse() == RefusalReason::kNone
              ? this->admission.UsableSlots()
              : 0;
@@ -136,7 +141,7 @@
   if (cancellation->IsCancelled() || now >= deadline) {
     co_return RefusalReason::kDeadlineTooShort;
   }
-  this->admission.SetCold(this->cold_state.IsCold(now));
+  this->UpdateAdmission(now);
   if (this->admission.TryStart(now)) {
     co_return RefusalReason::kNone;
   }
@@ -173,7 +178,7 @@
 
 void MeshGate::StartQueuedCalls() {
   const TimePoint now = this->clock.Now();
-  this->admission.SetCold(this->cold_state.IsCold(now));
+  this->UpdateAdmission(now);
   const GateAdmission::Released released = this->admission.ReleaseQueued(now);
   for (const std::uint64_t id : released.started) {
     this->EndWait(id, RefusalReason::kNone);
@@ -181,15 +186,15 @@
   for (const std::uint64_t id : released.expired) {
     this->EndWait(id, RefusalReason::kShedByGate);
   }
-  if (!this->is_pacing && this->admission.NextColdStart(now)) {
+  if (!this->is_pacing && this->admission.NextPacedStart(now)) {
     this->is_pacing = true;
-    asio::co_spawn(this->context, this->PaceColdStart(), asio::detached);
+    asio::co_spawn(this->context, this->PaceStarts(), asio::detached);
   }
 }
 
-Awaitable<> MeshGate::PaceColdStart() {
+Awaitable<> MeshGate::PaceStarts() {
   const TimePoint now = this->clock.Now();
-  Timer timer(this->context, this->admission.NextColdStart(now).value_or(now));
+  Timer timer(this->context, this->admission.NextPacedStart(now).value_or(now));
   ErrorCode ignored;
   co_await timer.async_wait(Await(ignored));
   this->is_pacing = false;
@@ -314,6 +319,7 @@
 
 Awaitable<> MeshGate::CheckHealthOnce() {
   const TimePoint sent_at = this->clock.Now();
+  this->admission.RecordHealthCheck(sent_at);
   TargetExchange exchange = co_await this->target.Send(
       platform::MakeHealthRequest(this->health_path), sent_at + kHealthTimeout,
       std::make_shared<Cancellation>());
@@ -427,14 +433,21 @@
   return text;
 }
 
-void MeshGate::AddLoad(protocol::CallReply& reply) const {
+void MeshGate::AddLoad(protocol::CallReply& reply) {
+  const TimePoint now = this->clock.Now();
   protocol::GateLoad* load = reply.mutable_load();
   load->set_in_flight(this->admission.InFlight());
   load->set_queued(this->admission.Queued());
   load->set_limit(this->admission.Limit());
-  load->set_cold(this->cold_state.IsCold(this->clock.Now()));
+  load->set_cold(this->cold_state.IsCold(now));
   load->set_work_microseconds(
       ToMicroseconds(this->admission.MeanServiceTime()));
+  this->UpdateAdmission(now);
+  if (const std::optional<double> rate = this->admission.RateLimit()) {
+    load->set_max_rate(static_cast<float>(*rate));
+    load->set_pacing_delay_microseconds(
+        ToMicroseconds(this->admission.PacingDelay(now)));
+  }
 }
 
 }  // namespace daisywinch
--- a/src/node/mesh_gate.h
+++ b/src/node/mesh_gate.h
@@ -75,6 +75,8 @@
   };
 
   void RefreshView();
+  /// Applies the state of the target to the admission.
+  void UpdateAdmission(TimePoint now);
   /// Reason why the target gets no new calls, or kNone.
   RefusalReason ReasonToRefuse() const;
   Awaitable<protocol::CallReply> AdmitAndRun(
@@ -98,9 +100,9 @@
   void RecordNotice(const HttpResponse& response, TimePoint sent_at);
   void StartQueuedCalls();
   void EndWait(std::uint64_t id, RefusalReason result);
-  /// Starts queued calls as soon as the rate limit of the cold target allows
-  /// the next one.
-  Awaitable<> PaceColdStart();
+  /// Starts queued calls as soon as the rate limit of the target allows the
+  /// next one.
+  Awaitable<> PaceStarts();
   Awaitable<> RunHealthChecks();
   Awaitable<> CheckHealthOnce();
   /// Empty while the local target is not registered.
@@ -112,7 +114,7 @@
   void LogFailedCall(const std::string& attempt_id,
                      const protocol::CallReply& reply,
                      Duration waited);
-  void AddLoad(protocol::CallReply& reply) const;
+  void AddLoad(protocol::CallReply& reply);
 
   asio::io_context& context;
   const Clock& clock;
--- a/src/node/mesh_ingress.cc
+++ b/src/node/mesh_ingress.cc
@@ -133,11 +133,11 @@
                          static_cast<int>(reply.status()) < kServerError;
   if (!call.is_root) {
     const RefusalReason reason = static_cast<RefusalReason>(reply.reason());
-    // The slots that a cold target reports already allow for its rate limit. A
+    // The slots that a target reports already allow for its rate limit. A
     // target that refuses a request itself had a slot for it.
-    const bool is_refused = reply.outcome() == protocol::OUTCOME_NOT_RUN &&
-                            !reply.load().cold() &&
-                            reason == RefusalReason::kShedByGate;
+    const bool is_refused =
+        reply.outcome() == protocol::OUTCOME_NOT_RUN && !reply.load().cold() &&
+        !reply.load().has_max_rate() && reason == RefusalReason::kShedByGate;
     this->root_admitter.RecordNestedCall(call.service, is_refused, now);
   } else if (is_served) {
     const RootClass root_class = {call.route->name, call.priority};
@@ -309,6 +309,11 @@
     load.queued = static_cast<int>(reply.load().queued());
     load.limit = static_cast<int>(reply.load().limit());
     load.is_cold = reply.load().cold();
+    if (reply.load().has_max_rate()) {
+      load.max_rate = reply.load().max_rate();
+      load.pacing_delay =
+          std::chrono::microseconds(reply.load().pacing_delay_microseconds());
+    }
     load.service_time =
         std::chrono::microseconds(reply.load().work_microseconds());
     this->balancer.RecordLoad(target_id, load, now);
--- a/src/state/gate_admission.cc
+++ b/src/state/gate_admission.cc
@@ -1,6 +1,7 @@
 #include "state/gate_admission.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "state/duration.h"
 
@@ -25,8 +26,11 @@
 /// divided by this.
 constexpr int kServiceTimeDivisor = 16;
 constexpr std::chrono::milliseconds kInitialServiceTime{50};
-/// Minimum time between two attempts to start calls at a cold target.
-constexpr std::chrono::milliseconds kMinColdPause{2};
+/// Minimum time between two attempts to start calls under a rate limit.
+constexpr std::chrono::milliseconds kMinPacingInterval{2};
+/// Time for which a rate limit may delay queued calls. Further calls are
+/// refused at once, as another target is likely to answer them sooner.
+constexpr std::chrono::milliseconds kMaxPacingDelay{500};
 
 }  // namespace
 
@@ -35,23 +39,46 @@
 
 void GateAdmission::SetSlots(int slots) {
   this->limit = std::max(1, static_cast<int>(slots * kUsedSlotFraction));
-  this->queue.SetCapacity(static_cast<std::size_t>(this->limit) *
-                          kMaxQueuedPerSlot);
+  this->UpdateLimits();
 }
 
 void GateAdmission::SetColdRate(double requests_per_second) {
   this->cold_rate = requests_per_second;
-  this->cold_rate_limiter.SetRate(requests_per_second);
+  this->UpdateLimits();
+}
+
+void GateAdmission::SetState(bool new_is_cold,
+                             std::optional<double> new_stated_rate) {
+  this->is_cold = new_is_cold;
+  this->stated_rate = new_stated_rate;
+  this->UpdateLimits();
+}
+
+std::optional<double> GateAdmission::RateLimit() const {
+  if (!this->is_cold || this->cold_rate <= 0) {
+    return this->stated_rate;
+  }
+  return std::min(this->cold_rate, this->stated_rate.value_or(this->cold_rate));
+}
+
+void GateAdmission::UpdateLimits() {
+  const std::optional<double> rate = this->RateLimit();
+  this->rate_limiter.SetRate(rate);
+  const double max_queued =
+      static_cast<double>(this->limit) * kMaxQueuedPerSlot;
+  const double max_paced =
+      rate ? *rate * ToSeconds(kMaxPacingDelay) : max_queued;
+  this->queue.SetCapacity(
+      static_cast<std::size_t>(std::ceil(std::min(max_queued, max_paced))));
 }
 
 bool GateAdmission::HasRoom(TimePoint now) {
-  return this->in_flight < this->limit &&
-         (!this->is_cold || this->cold_rate_limiter.CanSend(now));
+  return this->in_flight < this->limit && this->rate_limiter.CanSend(now);
 }
 
 void GateAdmission::OccupySlot(TimePoint now) {
   ++this->in_flight;
-  this->cold_rate_limiter.RecordSent(now);
+  this->rate_limiter.RecordSent(now);
 }
 
 bool GateAdmission::TryStart(TimePoint now) {
@@ -100,21 +127,19 @@
   }
 }
 
-std::optional<TimePoint> GateAdmission::NextColdStart(TimePoint now) {
+std::optional<TimePoint> GateAdmission::NextPacedStart(TimePoint now) {
   if (this->queue.Size() == 0 || this->in_flight >= this->limit) {
     return std::nullopt;
   }
-  const std::optional<TimePoint> next =
-      this->cold_rate_limiter.NextSendTime(now);
-  return std::max<TimePoint>(next.value_or(now), now + kMinColdPause);
+  return now + std::max<Duration>(this->rate_limiter.SendDelay(0, now),
+                                  kMinPacingInterval);
 }
 
 double GateAdmission::UsableSlots() const {
   const double limit = this->limit;
-  return this->is_cold && this->cold_rate > 0
-             ? std::min(limit,
-                        this->cold_rate * ToSeconds(this->mean_service_time))
-             : limit;
+  const std::optional<double> rate = this->RateLimit();
+  return rate ? std::min(limit, *rate * ToSeconds(this->mean_service_time))
+              : limit;
 }
 
 }  // namespace daisywinch
--- a/src/state/gate_admission.h
+++ b/src/state/gate_admission.h
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "state/clock.h"
-#include "state/cold_rate_limiter.h"
 #include "state/slot_queue.h"
+#include "state/target_rate_limiter.h"
 
 namespace daisywinch {
 
@@ -26,12 +26,13 @@
 };
 
 /// Decides which calls a target runs, which ones wait and which ones are
-/// refused; answers bursts that exceed the target's slots, and targets that are
-/// cold.
+/// refused; answers bursts that exceed the target's slots, targets that are
+/// cold, and targets that state a maximum rate.
 ///
-/// Limits the concurrent requests, and their rate while the target is cold.
-/// Measures what the target can take, for the admission of root requests.
-/// Knows nothing of connections; the gate starts the calls and sets the timers.
+/// Limits the concurrent requests, and their rate while the target is cold or
+/// states a maximum rate. Measures what the target can take, for the admission
+/// of root requests. Knows nothing of connections; the gate starts the calls
+/// and sets the timers.
 class GateAdmission {
  public:
   GateAdmission();
@@ -41,8 +42,12 @@
   /// Sets the requests per second that the target can handle while it is cold;
   /// 0 means no limit.
   void SetColdRate(double requests_per_second);
-  /// Sets whether the target is cold, which is to be done before each decision.
-  void SetCold(bool is_cold) { this->is_cold = is_cold; }
+  /// Sets whether the target is cold, and the requests per second that it
+  /// states to accept, if it does. To be called before each decision.
+  void SetState(bool is_cold, std::optional<double> stated_rate);
+
+  /// Counts a health check, which the target gets beside the calls.
+  void RecordHealthCheck(TimePoint now) { this->rate_limiter.RecordSent(now); }
 
   /// Starts the call if a slot is free and no call waits; returns whether it
   /// did.
@@ -64,15 +69,22 @@
   /// Records that a started call has ended. `service_time` is the time that the
   /// target took to answer it; empty if it gave no answer.
   void RecordEnd(std::optional<Duration> service_time);
-  /// Earliest time at which the rate limit of a cold target may let a queued
-  /// call start; nullopt while the rate limit isn't what calls wait for.
-  std::optional<TimePoint> NextColdStart(TimePoint now);
+  /// Earliest time at which the rate limit may let a queued call start; nullopt
+  /// while the rate limit isn't what calls wait for.
+  std::optional<TimePoint> NextPacedStart(TimePoint now);
 
   /// Maximum number of concurrent requests.
   int Limit() const { return this->limit; }
-  /// Mean number of concurrent requests that the target can sustain. While it
-  /// is cold, its rate limit allows fewer than there are slots.
+  /// Mean number of concurrent requests that the target can sustain. A rate
+  /// limit may allow fewer than there are slots.
   double UsableSlots() const;
+  /// Requests per second that the target may get; nullopt if their rate isn't
+  /// limited.
+  std::optional<double> RateLimit() const;
+  /// Time that a call which arrives now would wait for the rate limit.
+  Duration PacingDelay(TimePoint now) {
+    return this->rate_limiter.SendDelay(this->queue.Size(), now);
+  }
   int InFlight() const { return this->in_flight; }
   std::size_t Queued() const { return this->queue.Size(); }
   bool IsCold() const { return this->is_cold; }
@@ -82,6 +94,8 @@
  private:
   bool HasRoom(TimePoint now);
   void OccupySlot(TimePoint now);
+  /// Applies the rate limit and the slots to the limiter and the queue.
+  void UpdateLimits();
 
   int limit = 1;
   int in_flight = 0;
@@ -89,7 +103,8 @@
   SlotQueue queue;
   /// Requests per second while the target is cold; 0 means no limit.
   double cold_rate = 0;
-  ColdRateLimiter cold_rate_limiter;
+  std::optional<double> stated_rate;
+  TargetRateLimiter rate_limiter;
   Duration mean_service_time;
 };
 
--- a/src/state/mesh_load_balancer.cc
+++ b/src/state/mesh_load_balancer.cc
@@ -30,6 +30,9 @@
 constexpr double kFailureHalfLife = 1.0;
 /// Weight of one call in the moving average of failures.
 constexpr double kFailureWeight = 0.1;
+/// Lower bound of the rate by which the delay of a target's rate limit is
+/// computed, in requests per second.
+constexpr double kMinPacedRate = 0.1;
 /// Age at which a load report is no longer used, except for the service time.
 constexpr std::chrono::milliseconds kMaxReportAge{2000};
 constexpr std::chrono::milliseconds kInitialBackoff{200};
@@ -96,6 +99,17 @@
   return best;
 }
 
+double MeshLoadBalancer::PacingSeconds(const TargetState& state,
+                                       TimePoint now) {
+  if (!state.load.max_rate) {
+    return 0;
+  }
+  const double calls_ahead = state.calls_since_report;
+  return std::max(0.0, ToSeconds(state.load.pacing_delay -
+                                 (now - state.last_report_at))) +
+         calls_ahead / std::max(kMinPacedRate, *state.load.max_rate);
+}
+
 double MeshLoadBalancer::ExpectedSeconds(const MeshTarget& target,
                                          double remote_penalty,
                                          TimePoint now) {
@@ -114,8 +128,9 @@
   if (target.data_centre != this->data_centre) {
     seconds += remote_penalty;
   }
-  if (is_fresh && state.load.is_cold) {
-    seconds += kColdPenalty;
+  if (is_fresh) {
+    seconds += kWaitWeight * PacingSeconds(state, now);
+    seconds += state.load.is_cold ? kColdPenalty : 0;
   }
   const double age = ToSeconds(now - state.last_failure_at);
   seconds += kFailurePenalty * state.failure_fraction *
@@ -127,7 +142,9 @@
 }
 
 void MeshLoadBalancer::CallStarted(const std::string& target_id) {
-  ++this->states[target_id].local_in_flight;
+  TargetState& state = this->states[target_id];
+  ++state.local_in_flight;
+  ++state.calls_since_report;
 }
 
 void MeshLoadBalancer::CallEnded(const std::string& target_id,
@@ -162,6 +179,7 @@
   state.load = load;
   state.has_load = true;
   state.last_report_at = now;
+  state.calls_since_report = 0;
   state.others_in_flight = std::max(
       0, load.in_flight + load.queued - std::max(0, state.local_in_flight - 1));
 }
--- a/src/state/mesh_load_balancer.h
+++ b/src/state/mesh_load_balancer.h
@@ -2,6 +2,7 @@
 #define DAISYWINCH_STATE_MESH_LOAD_BALANCER_H
 
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -20,6 +21,11 @@
   /// Maximum number of concurrent requests of the target.
   int limit = 1;
   bool is_cold = false;
+  /// Requests per second that the target may get from all nodes; nullopt if
+  /// their rate isn't limited.
+  std::optional<double> max_rate;
+  /// Time that a call would have waited for that limit.
+  Duration pacing_delay = Duration::zero();
   /// Mean time that the target takes to process a request.
   Duration service_time = Duration::zero();
 };
@@ -40,8 +46,9 @@
 ///
 /// The expected time is the sum of the mean service time of the target, the
 /// expected time in its queue ("An Approximation Formula for the Queue with
-/// Multiple Servers", Sakasegawa 1977), and penalties for a target that is in
-/// another data centre, is cold, or has failed recently.
+/// Multiple Servers", Sakasegawa 1977), the time that its rate limit delays a
+/// call, and penalties for a target that is in another data centre, is cold, or
+/// has failed recently.
 class MeshLoadBalancer {
  public:
   MeshLoadBalancer(std::string data_centre, std::uint64_t seed);
@@ -72,6 +79,8 @@
     TargetLoad load;
     bool has_load = false;
     TimePoint last_report_at;
+    /// Calls sent since the last report.
+    int calls_since_report = 0;
     /// Moving average of the failures among the calls, from 0 to 1.
     double failure_fraction = 0;
     TimePoint last_failure_at;
@@ -79,6 +88,9 @@
     TimePoint backoff_until;
   };
 
+  /// Time that the rate limit of a target is expected to delay a call, in
+  /// seconds.
+  static double PacingSeconds(const TargetState& state, TimePoint now);
   double ExpectedSeconds(const MeshTarget& target,
                          double remote_penalty,
                          TimePoint now);
--- a/tests/coordination/load_pattern_test.cc
+++ b/tests/coordination/load_pattern_test.cc
@@ -321,6 +321,38 @@
   BOOST_TEST_MESSAGE(simulation.Timeline());
 }
 
+// Targets that stated a maximum rate got several times that, while others of
+// their service had room.
+BOOST_AUTO_TEST_CASE(targets_get_no_more_than_the_rate_that_they_state) {
+  constexpr double kRate = 12;
+  LoadSimulation simulation = MakeSimulation(4);
+  simulation.Run(seconds(10));
+  simulation.SetStatedRate("map", 3, kRate);
+  simulation.Run(seconds(20));
+  const LoadReport report = simulation.Report(seconds(11), seconds(25));
+  Print("three of five targets state a rate", report);
+  BOOST_TEST(simulation.MaxArrivals("map", 3, seconds(13), seconds(4)) <=
+             kRate * 4 + 1);
+  BOOST_TEST(report.Share() >= 0.99);
+}
+
+// Half of the capacity of the deepest service is gone: roots that it can't
+// serve have to be refused at the ingress.
+BOOST_AUTO_TEST_CASE(targets_of_the_deepest_service_state_a_rate) {
+  constexpr double kRate = 60;
+  LoadSimulation simulation = MakeSimulation(5);
+  simulation.Run(seconds(15));
+  simulation.SetStatedRate("voucher", 3, kRate);
+  simulation.SetLoad(1.2);
+  simulation.Run(seconds(20));
+  const LoadReport report = simulation.Report(seconds(17), seconds(30));
+  Print("three of six targets state a rate", report);
+  BOOST_TEST_MESSAGE(simulation.Timeline());
+  BOOST_TEST(simulation.MaxArrivals("voucher", 3, seconds(18), seconds(4)) <=
+             kRate * 4 + 1);
+  BOOST_TEST(report.InObjective(0) >= 0.99);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace daisywinch::test
--- /dev/null
+++ b/tests/end_to_end/target_notice_test.cc
@@ -0,0 +1,124 @@
+// Tests what nodes do when a target states, in its responses, a maximum rate or
+// that it leaves. Store, targets and nodes are processes.
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "support/mesh_fleet.h"
+#include "support/test_fleet.h"
+
+namespace daisywinch::test {
+
+namespace {
+
+/// The span of time in which the users count the requests of a target that
+/// states a rate, and the factor and number by which they may exceed it.
+constexpr std::chrono::seconds kCountedTime{4};
+constexpr double kTolerated = 1.5;
+constexpr double kToleratedRequests = 5;
+
+struct TargetNoticeFixture {
+  TargetNoticeFixture()
+      : east(fleet.AddVm("east", "front")),
+        west(fleet.AddVm("west", "front")),
+        back(fleet.AddVm("east", "back")) {
+    this->fleet.Start();
+  }
+
+  HttpResponse SendLook(const MeshVm& vm) {
+    Call call;
+    call.path = "/look/1";
+    call.key = MeshFleet::kSchoolKey;
+    return Send(vm.caller_address,
+                AddAttemptHeaders(call, "look-" + std::to_string(++this->id)));
+  }
+
+  /// Sends requests to all nodes at about 150 a second; returns how many were
+  /// not answered with 200.
+  int SendLooksFor(Duration time) {
+    constexpr int kCallersPerNode = 3;
+    std::atomic<int> failures = 0;
+    std::vector<std::thread> callers;
+    const TimePoint end = BootTime::now() + time;
+    for (const MeshVm* vm : {&this->east, &this->west, &this->back}) {
+      for (int caller = 0; caller < kCallersPerNode; ++caller) {
+        callers.emplace_back([this, vm, end, &failures] {
+          while (BootTime::now() < end) {
+            failures += this->SendLook(*vm).result_int() == 200 ? 0 : 1;
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+          }
+        });
+      }
+    }
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    return failures;
+  }
+
+  std::size_t CountRuns(const MeshVm& vm) {
+    return this->fleet.GetRuns(vm).size();
+  }
+
+  /// Lets the gate of the target see one of its responses.
+  void AwaitResponseOf(const MeshVm& vm) {
+    const std::size_t before = this->CountRuns(vm);
+    BOOST_REQUIRE(WaitUntil([&] {
+      this->SendLook(vm);
+      return this->CountRuns(vm) > before;
+    }));
+  }
+
+  MeshFleet fleet;
+  MeshVm& east;
+  MeshVm& west;
+  MeshVm& back;
+  std::atomic<int> id = 0;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(target_notice, TargetNoticeFixture)
+
+// Guards against a target that gets far more requests than it states to take,
+// while others of its service are idle.
+BOOST_AUTO_TEST_CASE(target_gets_no_more_than_the_rate_that_it_states) {
+  constexpr double kRate = 8;
+  this->fleet.SetTargetBehaviour(this->east, "max_rate=8.0");
+  this->AwaitResponseOf(this->east);
+  const std::size_t before = this->CountRuns(this->east);
+  const int failures = this->SendLooksFor(kCountedTime);
+  const std::size_t count = this->CountRuns(this->east) - before;
+  BOOST_TEST(static_cast<double>(count) <=
+             kTolerated * kRate * kCountedTime.count() + kToleratedRequests);
+  BOOST_TEST(failures == 0);
+  // The target still gets requests, and is used in full when it states no rate
+  // any more.
+  BOOST_TEST(count > 0);
+  this->fleet.SetTargetBehaviour(this->east, "");
+  this->SendLooksFor(std::chrono::seconds(2));
+  BOOST_TEST(this->CountRuns(this->east) - before - count >
+             kTolerated * kRate * 2 + kToleratedRequests);
+}
+
+BOOST_AUTO_TEST_CASE(restarted_node_keeps_to_the_rate_that_its_target_states) {
+  constexpr double kRate = 8;
+  this->fleet.SetTargetBehaviour(this->east, "max_rate=8.0");
+  this->AwaitResponseOf(this->east);
+  this->east.node_process->Signal(SIGKILL);
+  this->fleet.RunNode(this->east);
+  BOOST_REQUIRE(WaitUntil([&] { return this->fleet.IsReady(this->east); }));
+  const std::size_t before = this->CountRuns(this->east);
+  this->SendLooksFor(kCountedTime);
+  BOOST_TEST(static_cast<double>(this->CountRuns(this->east) - before) <=
+             kTolerated * kRate * kCountedTime.count() + kToleratedRequests);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace daisywinch::test
--- a/tests/state/mesh_decisions_test.cc
+++ b/tests/state/mesh_decisions_test.cc
@@ -2,13 +2,13 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
 
-#include "state/cold_rate_limiter.h"
 #include "state/cold_state_tracker.h"
 #include "state/duration.h"
 #include "state/mesh_load_balancer.h"
@@ -16,6 +16,7 @@
 #include "state/return_schedule.h"
 #include "state/slot_queue.h"
 #include "state/target_notices.h"
+#include "state/target_rate_limiter.h"
 #include "state/weighted_service_chooser.h"
 
 namespace daisywinch {
@@ -87,32 +88,69 @@
   BOOST_TEST(splitter.Choose(route) == "b");
 }
 
-BOOST_AUTO_TEST_CASE(cold_rate_holds_in_any_second) {
-  ColdRateLimiter limiter;
-  limiter.SetRate(16);
-  std::vector<TimePoint> sent;
-  for (TimePoint now = kStart; now < kStart + std::chrono::seconds(4);
-       now += milliseconds(3)) {
-    if (limiter.CanSend(now)) {
-      limiter.RecordSent(now);
-      sent.push_back(now);
+BOOST_AUTO_TEST_CASE(rate_limit_holds_in_any_second) {
+  for (const double rate : {1.0, 2.7, 9.5, 16.0, 113.9}) {
+    TargetRateLimiter limiter;
+    limiter.SetRate(rate);
+    std::vector<TimePoint> sent;
+    for (TimePoint now = kStart; now < kStart + std::chrono::seconds(4);
+         now += milliseconds(3)) {
+      if (limiter.CanSend(now)) {
+        limiter.RecordSent(now);
+        sent.push_back(now);
+      }
     }
+    const std::size_t in_a_second =
+        static_cast<std::size_t>(std::max(1.0, std::ceil(rate)));
+    for (std::size_t first = 0; first + in_a_second < sent.size(); ++first) {
+      BOOST_TEST(
+          (sent[first + in_a_second] - sent[first] >= std::chrono::seconds(1)));
+    }
+    BOOST_TEST(static_cast<double>(sent.size()) >= 0.9 * 4 * rate);
   }
-  for (std::size_t first = 0; first + 16 < sent.size(); ++first) {
-    BOOST_TEST((sent[first + 16] - sent[first] >= std::chrono::seconds(1)));
-  }
-  BOOST_TEST(sent.size() >= 48);
 }
 
-BOOST_AUTO_TEST_CASE(next_send_time_is_when_the_oldest_request_expires) {
-  ColdRateLimiter limiter;
+BOOST_AUTO_TEST_CASE(rate_limit_below_one_request_per_second_holds) {
+  TargetRateLimiter limiter;
+  limiter.SetRate(0.25);
+  BOOST_TEST(limiter.CanSend(kStart));
+  limiter.RecordSent(kStart);
+  BOOST_TEST(!limiter.CanSend(kStart + std::chrono::seconds(4)));
+  BOOST_TEST(limiter.CanSend(kStart + std::chrono::seconds(5)));
+  limiter.SetRate(0);
+  BOOST_TEST(!limiter.CanSend(kStart + std::chrono::hours(1)));
+  limiter.SetRate(std::nullopt);
+  BOOST_TEST(limiter.CanSend(kStart));
+}
+
+BOOST_AUTO_TEST_CASE(send_delay_is_the_time_until_the_request_can_be_sent) {
+  TargetRateLimiter limiter;
   limiter.SetRate(1);
-  BOOST_TEST(!limiter.NextSendTime(kStart).has_value());
+  BOOST_TEST((limiter.SendDelay(0, kStart) == Duration::zero()));
   limiter.RecordSent(kStart);
-  BOOST_REQUIRE(limiter.NextSendTime(kStart).has_value());
-  BOOST_TEST(
-      (*limiter.NextSendTime(kStart) > kStart + std::chrono::seconds(1)));
-  BOOST_TEST(limiter.CanSend(*limiter.NextSendTime(kStart)));
+  const Duration delay = limiter.SendDelay(0, kStart);
+  BOOST_TEST((delay > std::chrono::seconds(1)));
+  BOOST_TEST(limiter.CanSend(kStart + delay));
+  // Requests that wait are sent first, and requests before a limit count.
+  limiter.SetRate(10);
+  for (int request = 0; request < 25; ++request) {
+    limiter.RecordSent(kStart + milliseconds(request));
+  }
+  for (const std::size_t waiting : {0, 3, 9, 10, 35}) {
+    const TimePoint arrival = kStart + milliseconds(100);
+    TargetRateLimiter replayed = limiter;
+    TimePoint now = arrival;
+    for (std::size_t sent = 0; sent <= waiting; now += milliseconds(1)) {
+      if (replayed.CanSend(now)) {
+        replayed.RecordSent(now);
+        ++sent;
+      }
+    }
+    const Duration expected = now - milliseconds(1) - arrival;
+    const Duration actual = limiter.SendDelay(waiting, arrival);
+    BOOST_TEST((actual <= expected));
+    BOOST_TEST((actual + milliseconds(5) >= expected));
+  }
 }
 
 BOOST_AUTO_TEST_CASE(statement_of_a_target_holds_until_a_later_response) {
@@ -146,6 +184,27 @@
   BOOST_TEST(!notices.MaxRate().has_value());
 }
 
+BOOST_AUTO_TEST_CASE(calls_go_elsewhere_while_a_rate_limit_delays_them) {
+  const std::shared_ptr<const MeshView> view =
+      MakeView({MakeTarget("i-1", "east"), MakeTarget("i-2", "west")});
+  MeshLoadBalancer balancer("east", 1);
+  TargetLoad load;
+  load.limit = 38;
+  load.service_time = milliseconds(100);
+  balancer.RecordLoad("i-2", load, kStart);
+  load.max_rate = 10;
+  balancer.RecordLoad("i-1", load, kStart);
+  // One call fits, the next one would have to wait.
+  BOOST_TEST(
+      balancer.Choose(*view, "front", {}, milliseconds(500), kStart)->id ==
+      "i-1");
+  load.pacing_delay = milliseconds(400);
+  balancer.RecordLoad("i-1", load, kStart);
+  std::map<std::string, int> counts =
+      ChooseMany(balancer, *view, 20, milliseconds(500));
+  BOOST_TEST(counts["i-1"] <= 2);
+}
+
 BOOST_AUTO_TEST_CASE(nested_calls_precede_roots_in_priority_order) {
   SlotQueue queue(10);
   const TimePoint later = kStart + std::chrono::seconds(1);
--- a/tests/support/load_simulation.cc
+++ b/tests/support/load_simulation.cc
@@ -231,6 +231,40 @@
   }
 }
 
+void LoadSimulation::SetStatedRate(const std::string& service,
+                                   int count,
+                                   std::optional<double> rate) {
+  for (Node& node : this->nodes) {
+    if (count > 0 && node.record.service == service) {
+      node.stated_rate = rate;
+      --count;
+    }
+  }
+}
+
+int LoadSimulation::MaxArrivals(const std::string& service,
+                                int count,
+                                milliseconds from,
+                                milliseconds span) const {
+  std::size_t most = 0;
+  for (const Node& node : this->nodes) {
+    if (count == 0 || node.record.service != service) {
+      continue;
+    }
+    --count;
+    const std::vector<TimePoint>& times = node.arrivals;
+    auto first =
+        std::lower_bound(times.begin(), times.end(), this->started_at + from);
+    for (auto last = first; last != times.end(); ++last) {
+      while (*last - *first > span) {
+        ++first;
+      }
+      most = std::max<std::size_t>(most, last - first + 1);
+    }
+  }
+  return static_cast<int>(most);
+}
+
 void LoadSimulation::RestartNodes() {
   for (Node& node : this->nodes) {
     this->StartNode(node);
@@ -407,7 +441,7 @@
     this->Refuse(call, index);
     return;
   }
-  node.gate->SetCold(this->IsCold(node));
+  node.gate->SetState(this->IsCold(node), node.stated_rate);
   if (node.gate->TryStart(this->now)) {
     this->StartRun(call, index);
     return;
@@ -458,7 +492,7 @@
 
 void LoadSimulation::ReleaseQueued(std::size_t index) {
   Node& node = this->nodes[index];
-  node.gate->SetCold(this->IsCold(node));
+  node.gate->SetState(this->IsCold(node), node.stated_rate);
   const GateAdmission::Released released = node.gate->ReleaseQueued(this->now);
   for (const std::uint64_t id : released.expired) {
     const std::shared_ptr<Call> call = node.waiting.at(id);
@@ -471,7 +505,7 @@
     this->StartRun(call, index);
   }
   if (const std::optional<TimePoint> next =
-          node.gate->NextColdStart(this->now)) {
+          node.gate->NextPacedStart(this->now)) {
     this->After(*next - this->now,
                 [this, index] { this->ReleaseQueued(index); });
   }
@@ -480,6 +514,7 @@
 void LoadSimulation::StartRun(const std::shared_ptr<Call>& call,
                               std::size_t index) {
   Node& node = this->nodes[index];
+  node.arrivals.push_back(this->now);
   if (node.shed_fraction > 0 &&
       std::bernoulli_distribution(node.shed_fraction)(this->random)) {
     node.gate->RecordEnd(std::nullopt);
@@ -605,7 +640,7 @@
                            AttemptResult attempt,
                            GateResult gate_result) {
   Node& origin = this->nodes[call->origin];
-  const GateAdmission& gate = *this->nodes[index].gate;
+  GateAdmission& gate = *this->nodes[index].gate;
   origin.balancer->CallEnded(target_id, gate_result, this->now);
   if (gate_result != GateResult::kUnreachable) {
     TargetLoad load;
@@ -614,6 +649,8 @@
     load.limit = gate.Limit();
     load.is_cold = gate.IsCold();
     load.service_time = gate.MeanServiceTime();
+    load.max_rate = gate.RateLimit();
+    load.pacing_delay = gate.PacingDelay(this->now);
     origin.balancer->RecordLoad(target_id, load, this->now);
   }
   const auto record_nested = [&](bool is_refused) {
@@ -632,7 +669,8 @@
     this->SendCall(call);
     return;
   }
-  record_nested(gate_result == GateResult::kRefused && !gate.IsCold());
+  record_nested(gate_result == GateResult::kRefused && !gate.IsCold() &&
+                !gate.RateLimit());
   call->done(false, attempt.has_not_run);
 }
 
@@ -642,7 +680,7 @@
       continue;
     }
     node.reported_at = this->now;
-    node.gate->SetCold(this->IsCold(node));
+    node.gate->SetState(this->IsCold(node), node.stated_rate);
     NodeLoad load;
     load.service = node.record.service;
     load.slots = this->IsUsable(node) ? node.gate->UsableSlots() : 0;
--- a/tests/support/load_simulation.h
+++ b/tests/support/load_simulation.h
@@ -122,6 +122,17 @@
   void Evacuate(int data_centre, bool is_evacuated);
   void MakeCold(int data_centre, std::chrono::milliseconds cold);
   void SetSpeedFactor(const std::string& service, int count, double factor);
+  /// Lets targets state that they accept `rate` requests per second, or any
+  /// rate if it is empty.
+  void SetStatedRate(const std::string& service,
+                     int count,
+                     std::optional<double> rate);
+  /// Largest number of requests that one target of the service got in a span of
+  /// this length after `from`.
+  int MaxArrivals(const std::string& service,
+                  int count,
+                  std::chrono::milliseconds from,
+                  std::chrono::milliseconds span) const;
   /// Makes targets refuse a fraction of the requests that they have slots for.
   void SetShedding(const std::string& service, int count, double fraction);
   /// Restarts all nodes, which lose what they have learned.
@@ -192,6 +203,10 @@
     bool is_evacuated = false;
     bool is_isolated = false;
     TimePoint cold_until;
+    /// Requests per second that the target states to accept.
+    std::optional<double> stated_rate;
+    /// Times of the requests that the target got.
+    std::vector<TimePoint> arrivals;
     /// Counts restarts of the node process.
     std::uint64_t run = 0;
     std::unique_ptr<GateAdmission> gate;
