Send no calls to a target that states that it leaves

A target that leaves now says so in all its responses. Whoever passed on such a response has to stop sending to it, also while the store is away or its record says ready; nodes followed the record only.

The gate, which sees the responses first, refuses calls from then on and those that wait, unsent, so that they go elsewhere. Its replies name the run of the target that leaves; an ingress then doesn't choose that run for five seconds, after which it may ask the gate again. A gate that has just started knows no statement: calls wait for the target's first response, for a second at most, and the first health check is sent at once.

--- a/src/node/mesh_gate.cc
+++ b/src/node/mesh_gate.cc
@@ -22,6 +22,8 @@
 constexpr std::uint64_t kBodyLimit = 64ULL * 1024 * 1024;
 constexpr std::chrono::milliseconds kHealthInterval{250};
 constexpr std::chrono::milliseconds kHealthTimeout{1000};
+/// Time for which calls wait for the first response of the target.
+constexpr std::chrono::milliseconds kFirstResponseTimeout{1000};
 /// Minimum interval between log lines about the rate that the target states.
 constexpr std::chrono::seconds kMaxRateLogInterval{1};
 
@@ -75,6 +77,10 @@
     return;
   }
   const TimePoint now = this->clock.Now();
+  if (!this->target_known_at) {
+    this->target_known_at = now;
+    this->health_timer.cancel();
+  }
   this->admission.SetSlots(this->local_target->slots);
   this->cold_state.UpdateRecord(*this->local_target, now);
   this->notices.UpdateRecord(*this->local_target);
@@ -96,6 +102,13 @@
 void MeshGate::UpdateAdmission(TimePoint now) {
   this->admission.SetState(this->cold_state.IsCold(now),
                            this->notices.MaxRate());
+  this->admission.SetHeld(this->IsAwaitingFirstResponse(now));
+}
+
+bool MeshGate::IsAwaitingFirstResponse(TimePoint now) const {
+  return !this->has_target_responded && !this->health_path.empty() &&
+         this->target_known_at &&
+         now - *this->target_known_at < kFirstResponseTimeout;
 }
 
 RefusalReason MeshGate::ReasonToRefuse() const {
@@ -104,6 +117,7 @@
   }
   const bool is_leaving =
       this->draining || this->local_target->leaving ||
+      this->notices.IsLeaving() ||
       this->view->IsEvacuated(this->local_target->data_centre);
   return is_leaving ? RefusalReason::kDraining : RefusalReason::kNone;
 }
@@ -179,6 +193,9 @@
 void MeshGate::StartQueuedCalls() {
   const TimePoint now = this->clock.Now();
   this->UpdateAdmission(now);
+  if (this->notices.IsLeaving()) {
+    this->RefuseQueuedCalls(RefusalReason::kDraining);
+  }
   const GateAdmission::Released released = this->admission.ReleaseQueued(now);
   for (const std::uint64_t id : released.started) {
     this->EndWait(id, RefusalReason::kNone);
@@ -192,6 +209,16 @@
   }
 }
 
+void MeshGate::RefuseQueuedCalls(RefusalReason reason) {
+  for (const auto& [id, waiter] : this->waiters) {
+    if (!waiter->result) {
+      this->admission.Remove(id);
+      waiter->result = reason;
+      waiter->wake_up.cancel();
+    }
+  }
+}
+
 Awaitable<> MeshGate::PaceStarts() {
   const TimePoint now = this->clock.Now();
   Timer timer(this->context, this->admission.NextPacedStart(now).value_or(now));
@@ -290,6 +317,7 @@
 }
 
 void MeshGate::RecordNotice(const HttpResponse& response, TimePoint sent_at) {
+  this->has_target_responded = true;
   const std::optional<TargetNotice> notice =
       platform::ReadTargetNotice(response);
   if (!notice) {
@@ -448,6 +476,10 @@
     load->set_pacing_delay_microseconds(
         ToMicroseconds(this->admission.PacingDelay(now)));
   }
+  if (this->local_target != nullptr && this->notices.IsLeaving()) {
+    load->mutable_leaving()->set_target_id(this->local_target->id);
+    load->mutable_leaving()->set_born(this->local_target->born);
+  }
 }
 
 }  // namespace daisywinch
--- a/src/node/mesh_gate.h
+++ b/src/node/mesh_gate.h
@@ -77,6 +77,9 @@
   void RefreshView();
   /// Applies the state of the target to the admission.
   void UpdateAdmission(TimePoint now);
+  /// Whether calls wait for the first response of the target to this process,
+  /// which shows whether it is leaving, cold or states a maximum rate.
+  bool IsAwaitingFirstResponse(TimePoint now) const;
   /// Reason why the target gets no new calls, or kNone.
   RefusalReason ReasonToRefuse() const;
   Awaitable<protocol::CallReply> AdmitAndRun(
@@ -99,6 +102,7 @@
   /// `sent_at`.
   void RecordNotice(const HttpResponse& response, TimePoint sent_at);
   void StartQueuedCalls();
+  void RefuseQueuedCalls(RefusalReason reason);
   void EndWait(std::uint64_t id, RefusalReason result);
   /// Starts queued calls as soon as the rate limit of the target allows the
   /// next one.
@@ -131,6 +135,10 @@
   LogRateLimiter log_limiter;
   ColdStateTracker cold_state;
   TargetNotices notices;
+  /// Time at which this process learned of the target, and whether the target
+  /// has responded since.
+  std::optional<TimePoint> target_known_at;
+  bool has_target_responded = false;
   GateAdmission admission;
   std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
   std::uint64_t next_waiter_id = 1;
--- a/src/node/mesh_ingress.cc
+++ b/src/node/mesh_ingress.cc
@@ -317,6 +317,10 @@
     load.service_time =
         std::chrono::microseconds(reply.load().work_microseconds());
     this->balancer.RecordLoad(target_id, load, now);
+    if (reply.load().has_leaving()) {
+      this->balancer.RecordLeaving(reply.load().leaving().target_id(),
+                                   reply.load().leaving().born(), now);
+    }
   }
   co_return reply;
 }
--- a/src/state/gate_admission.cc
+++ b/src/state/gate_admission.cc
@@ -73,7 +73,8 @@
 }
 
 bool GateAdmission::HasRoom(TimePoint now) {
-  return this->in_flight < this->limit && this->rate_limiter.CanSend(now);
+  return !this->is_held && this->in_flight < this->limit &&
+         this->rate_limiter.CanSend(now);
 }
 
 void GateAdmission::OccupySlot(TimePoint now) {
@@ -128,7 +129,8 @@
 }
 
 std::optional<TimePoint> GateAdmission::NextPacedStart(TimePoint now) {
-  if (this->queue.Size() == 0 || this->in_flight >= this->limit) {
+  if (this->queue.Size() == 0 || this->is_held ||
+      this->in_flight >= this->limit) {
     return std::nullopt;
   }
   return now + std::max<Duration>(this->rate_limiter.SendDelay(0, now),
--- a/src/state/gate_admission.h
+++ b/src/state/gate_admission.h
@@ -46,6 +46,8 @@
   /// states to accept, if it does. To be called before each decision.
   void SetState(bool is_cold, std::optional<double> stated_rate);
 
+  /// Sets whether calls only wait, because the state of the target isn't known.
+  void SetHeld(bool new_is_held) { this->is_held = new_is_held; }
   /// Counts a health check, which the target gets beside the calls.
   void RecordHealthCheck(TimePoint now) { this->rate_limiter.RecordSent(now); }
 
@@ -100,6 +102,7 @@
   int limit = 1;
   int in_flight = 0;
   bool is_cold = true;
+  bool is_held = false;
   SlotQueue queue;
   /// Requests per second while the target is cold; 0 means no limit.
   double cold_rate = 0;
--- a/src/state/mesh_load_balancer.cc
+++ b/src/state/mesh_load_balancer.cc
@@ -35,6 +35,8 @@
 constexpr double kMinPacedRate = 0.1;
 /// Age at which a load report is no longer used, except for the service time.
 constexpr std::chrono::milliseconds kMaxReportAge{2000};
+/// Time for which a target that leaves is not chosen.
+constexpr std::chrono::seconds kLeavingTime{5};
 constexpr std::chrono::milliseconds kInitialBackoff{200};
 constexpr int kMaxBackoffDoublings = 4;
 /// Penalty of a target in backoff, in seconds. It is large enough that such a
@@ -77,7 +79,7 @@
   if (std::bernoulli_distribution(kExplorationProbability)(this->random)) {
     std::uniform_int_distribution<std::size_t> any(0, usable.size() - 1);
     const MeshTarget* explored = usable[any(this->random)];
-    if (!excluded.contains(explored->id) &&
+    if (!excluded.contains(explored->id) && !this->IsLeaving(*explored, now) &&
         now >= this->states[explored->id].backoff_until) {
       return explored;
     }
@@ -86,7 +88,7 @@
   double best_seconds = 0;
   std::uniform_real_distribution<double> jitter(1, 1 + kJitter);
   for (const MeshTarget* target : usable) {
-    if (excluded.contains(target->id)) {
+    if (excluded.contains(target->id) || this->IsLeaving(*target, now)) {
       continue;
     }
     const double seconds = this->ExpectedSeconds(*target, remote_penalty, now) *
@@ -99,6 +101,14 @@
   return best;
 }
 
+bool MeshLoadBalancer::IsLeaving(const MeshTarget& target,
+                                 TimePoint now) const {
+  const auto found = this->states.find(target.id);
+  return found != this->states.end() &&
+         found->second.leaving_born == target.born &&
+         now < found->second.leaving_until;
+}
+
 double MeshLoadBalancer::PacingSeconds(const TargetState& state,
                                        TimePoint now) {
   if (!state.load.max_rate) {
@@ -184,4 +194,12 @@
       0, load.in_flight + load.queued - std::max(0, state.local_in_flight - 1));
 }
 
+void MeshLoadBalancer::RecordLeaving(const std::string& target_id,
+                                     std::int64_t born,
+                                     TimePoint now) {
+  TargetState& state = this->states[target_id];
+  state.leaving_born = born;
+  state.leaving_until = now + kLeavingTime;
+}
+
 }  // namespace daisywinch
--- a/src/state/mesh_load_balancer.h
+++ b/src/state/mesh_load_balancer.h
@@ -53,7 +53,8 @@
  public:
   MeshLoadBalancer(std::string data_centre, std::uint64_t seed);
 
-  /// Returns the target for a call; null if there is none outside `excluded`.
+  /// Returns the target for a call; null if there is none outside `excluded`
+  /// that isn't leaving.
   ///
   /// `objective` is the time left until the latency objective of the call. The
   /// more time is left, the longer calls stay in the local data centre.
@@ -70,6 +71,11 @@
   void RecordLoad(const std::string& target_id,
                   const TargetLoad& load,
                   TimePoint now);
+  /// Records that a run of a target states that it leaves. It is not chosen for
+  /// some time; then its gate may be asked again.
+  void RecordLeaving(const std::string& target_id,
+                     std::int64_t born,
+                     TimePoint now);
 
  private:
   struct TargetState {
@@ -81,6 +87,9 @@
     TimePoint last_report_at;
     /// Calls sent since the last report.
     int calls_since_report = 0;
+    /// Start of the run that states that it leaves.
+    std::optional<std::int64_t> leaving_born;
+    TimePoint leaving_until;
     /// Moving average of the failures among the calls, from 0 to 1.
     double failure_fraction = 0;
     TimePoint last_failure_at;
@@ -88,6 +97,7 @@
     TimePoint backoff_until;
   };
 
+  bool IsLeaving(const MeshTarget& target, TimePoint now) const;
   /// Time that the rate limit of a target is expected to delay a call, in
   /// seconds.
   static double PacingSeconds(const TargetState& state, TimePoint now);
--- a/tests/end_to_end/target_notice_test.cc
+++ b/tests/end_to_end/target_notice_test.cc
@@ -74,6 +74,18 @@
     }));
   }
 
+  /// Sends requests to all nodes and checks that they are answered, and that
+  /// none reaches the target.
+  void CheckAvoided(const MeshVm& vm) {
+    const std::size_t before = this->CountRuns(vm);
+    for (int count = 0; count < 30; ++count) {
+      for (const MeshVm* node : {&this->east, &this->west, &this->back}) {
+        BOOST_TEST(this->SendLook(*node).result_int() == 200);
+      }
+    }
+    BOOST_TEST(this->CountRuns(vm) == before);
+  }
+
   MeshFleet fleet;
   MeshVm& east;
   MeshVm& west;
@@ -119,6 +131,73 @@
              kTolerated * kRate * kCountedTime.count() + kToleratedRequests);
 }
 
+// Guards against requests to a target that leaves without the store saying so.
+BOOST_AUTO_TEST_CASE(leaving_target_is_avoided_without_the_store) {
+  this->fleet.SetStoreBehaviour("down=1");
+  this->fleet.SetTargetBehaviour(this->east, "leaving=1");
+  this->AwaitResponseOf(this->east);
+  this->CheckAvoided(this->east);
+}
+
+// The record may say for some time, or again, that the target is ready.
+BOOST_AUTO_TEST_CASE(leaving_target_is_avoided_though_its_record_says_ready) {
+  this->fleet.SetTargetBehaviour(this->east, "leaving=1");
+  this->AwaitResponseOf(this->east);
+  this->fleet.PublishTarget(this->east, false, 2);
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  this->CheckAvoided(this->east);
+}
+
+// The new gate has no response of the target yet when it gets the first calls.
+BOOST_AUTO_TEST_CASE(leaving_target_is_avoided_after_a_restart_of_its_node) {
+  this->fleet.SetTargetBehaviour(this->east, "leaving=1");
+  for (const MeshVm* vm : {&this->east, &this->west, &this->back}) {
+    const std::size_t before = this->CountRuns(this->east);
+    WaitUntil(
+        [&] {
+          this->SendLook(*vm);
+          return this->CountRuns(this->east) > before;
+        },
+        std::chrono::milliseconds(500));
+  }
+  this->east.node_process->Signal(SIGKILL);
+  this->fleet.RunNode(this->east);
+  BOOST_REQUIRE(WaitUntil([&] { return this->fleet.IsReady(this->east); }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  this->CheckAvoided(this->east);
+}
+
+BOOST_AUTO_TEST_CASE(next_run_of_a_target_that_left_gets_requests) {
+  this->fleet.SetTargetBehaviour(this->east, "leaving=1");
+  this->AwaitResponseOf(this->east);
+  this->CheckAvoided(this->east);
+  this->east.target_process->Signal(SIGKILL);
+  this->east.target_id += "-next";
+  this->fleet.StartTarget(this->east);
+  this->fleet.RemoveKey("servers/i-1");
+  this->fleet.PublishTarget(this->east, false);
+  BOOST_TEST(WaitUntil([&] {
+    this->SendLook(this->east);
+    return this->CountRuns(this->east) > 0;
+  }));
+}
+
+// Without the store, the record names the run before; it is the same target
+// id.
+BOOST_AUTO_TEST_CASE(restarted_target_gets_requests_without_the_store) {
+  this->fleet.SetStoreBehaviour("down=1");
+  this->fleet.SetTargetBehaviour(this->east, "leaving=1");
+  this->AwaitResponseOf(this->east);
+  this->east.target_process->Signal(SIGKILL);
+  this->fleet.StartTarget(this->east);
+  BOOST_TEST(WaitUntil(
+      [&] {
+        this->SendLook(this->east);
+        return this->CountRuns(this->east) > 0;
+      },
+      std::chrono::seconds(15)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace daisywinch::test
--- a/tests/state/mesh_decisions_test.cc
+++ b/tests/state/mesh_decisions_test.cc
@@ -184,6 +184,23 @@
   BOOST_TEST(!notices.MaxRate().has_value());
 }
 
+// Guards against a target that leaves and gets requests as soon as its gate has
+// restarted, or is believed to leave when it has restarted itself.
+BOOST_AUTO_TEST_CASE(run_that_leaves_gets_no_calls) {
+  MeshTarget first = MakeTarget("i-1", "east");
+  first.born = 5;
+  const MeshTarget second = MakeTarget("i-2", "west");
+  MeshLoadBalancer balancer("east", 1);
+  balancer.RecordLeaving("i-1", 5, kStart);
+  BOOST_TEST(ChooseMany(balancer, *MakeView({first, second}), 500,
+                        milliseconds(500))["i-1"] == 0);
+  BOOST_TEST(balancer.Choose(*MakeView({first}), "front", {}, milliseconds(500),
+                             kStart) == nullptr);
+  first.born = 6;
+  BOOST_TEST(ChooseMany(balancer, *MakeView({first, second}), 100,
+                        milliseconds(500))["i-1"] > 0);
+}
+
 BOOST_AUTO_TEST_CASE(calls_go_elsewhere_while_a_rate_limit_delays_them) {
   const std::shared_ptr<const MeshView> view =
       MakeView({MakeTarget("i-1", "east"), MakeTarget("i-2", "west")});
