Log crashes of targets and the requests that were running

One request that comes again and again ended target after target, and the log could not show it: lines of requests had the id of one attempt only, and nothing said that a target had ended.

A request is identified by a digest of its route, method, path, caller and body; the order of headers and the transfer coding don't count. CrashDetector takes it for a crash if responses were lost and the target then refuses a connection or turns out to be another run; a lost response alone is none. Event 4005 names the requests that were running. Nothing is decided by it yet.

--- a/src/node/mesh_gate.cc
+++ b/src/node/mesh_gate.cc
@@ -1,6 +1,7 @@
 #include "node/mesh_gate.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -24,6 +25,10 @@
 constexpr std::chrono::milliseconds kHealthTimeout{1000};
 /// Time for which calls wait for the first response of the target.
 constexpr std::chrono::milliseconds kFirstResponseTimeout{1000};
+/// Time in which the connections of a process that ended are closed.
+constexpr std::chrono::milliseconds kConnectionCloseTime{50};
+/// Maximum number of requests named in the log line about a crash.
+constexpr std::size_t kMaxLoggedRequests = 8;
 /// Minimum interval between log lines about the rate that the target states.
 constexpr std::chrono::seconds kMaxRateLogInterval{1};
 
@@ -84,6 +89,9 @@
   this->admission.SetSlots(this->local_target->slots);
   this->cold_state.UpdateRecord(*this->local_target, now);
   this->notices.UpdateRecord(*this->local_target);
+  if (this->crash_detector.UpdateRecord(*this->local_target, now)) {
+    asio::co_spawn(this->context, this->ReportCrash(), asio::detached);
+  }
   if (was_evacuated &&
       !this->view->IsEvacuated(this->local_target->data_centre)) {
     // The target may have been restarted while its data centre was evacuated.
@@ -248,8 +256,7 @@
       cancellation);
   const TimePoint ended = this->clock.Now();
   const bool was_known = this->cold_state.ColdUntil().has_value();
-  protocol::CallReply reply =
-      this->MakeReply(request.attempt_id(), started, exchange);
+  protocol::CallReply reply = this->MakeReply(request, started, exchange);
   if (was_known && !this->cold_state.ColdUntil()) {
     // Checks at once, as the target gets few calls until its state is known.
     this->health_timer.cancel();
@@ -266,10 +273,13 @@
   co_return reply;
 }
 
-protocol::CallReply MeshGate::MakeReply(const std::string& attempt_id,
+protocol::CallReply MeshGate::MakeReply(const protocol::CallRequest& request,
                                         TimePoint sent_at,
                                         TargetExchange& exchange) {
   const TimePoint now = this->clock.Now();
+  if (exchange.connection_refused) {
+    this->RecordProcessEnd();
+  }
   if (exchange.connection_dropped) {
     this->cold_state.RecordPossibleRestart(now);
   }
@@ -284,6 +294,7 @@
       break;
     case TargetExchange::End::kResponseLost:
       this->cold_state.RecordLostResponse(now);
+      this->crash_detector.RecordLostResponse(request.digest(), sent_at, now);
       reply = MakeRefusedReply(RefusalReason::kResponseLost);
       break;
     case TargetExchange::End::kResponseTooLarge:
@@ -291,7 +302,8 @@
       reply = MakeRefusedReply(RefusalReason::kResponseLost);
       break;
     case TargetExchange::End::kAnswered:
-      switch (platform::ClassifyResponse(exchange.response, attempt_id)) {
+      switch (
+          platform::ClassifyResponse(exchange.response, request.attempt_id())) {
         case platform::ResponseClass::kAnswered:
           this->RecordNotice(exchange.response, sent_at);
           reply.set_outcome(protocol::OUTCOME_ANSWERED);
@@ -351,6 +363,9 @@
   TargetExchange exchange = co_await this->target.Send(
       platform::MakeHealthRequest(this->health_path), sent_at + kHealthTimeout,
       std::make_shared<Cancellation>());
+  if (exchange.connection_refused) {
+    this->RecordProcessEnd();
+  }
   if (exchange.end != TargetExchange::End::kAnswered) {
     co_return;
   }
@@ -366,6 +381,35 @@
   }
 }
 
+void MeshGate::RecordProcessEnd() {
+  if (this->crash_detector.RecordProcessEnd(this->clock.Now())) {
+    asio::co_spawn(this->context, this->ReportCrash(), asio::detached);
+  }
+}
+
+Awaitable<> MeshGate::ReportCrash() {
+  Timer timer(this->context, kConnectionCloseTime);
+  ErrorCode ignored;
+  co_await timer.async_wait(Await(ignored));
+  const std::set<RequestDigest> running =
+      this->crash_detector.TakeCrash(this->clock.Now());
+  const bool was_leaving = this->ReasonToRefuse() == RefusalReason::kDraining;
+  if (running.empty() || was_leaving) {
+    co_return;
+  }
+  std::string digests;
+  std::size_t count = 0;
+  for (const RequestDigest digest : running) {
+    if (++count <= kMaxLoggedRequests) {
+      digests += (digests.empty() ? "" : " ") + ToText(digest);
+    }
+  }
+  LogEvent(EventId::kTargetCrashed,
+           {{"target", this->LocalTargetId()},
+            {"running", static_cast<std::uint64_t>(running.size())},
+            {"requests", digests}});
+}
+
 void MeshGate::LogColdStateChange() {
   const bool is_cold = this->cold_state.IsCold(this->clock.Now());
   if (is_cold != this->logged_cold) {
--- a/src/node/mesh_gate.h
+++ b/src/node/mesh_gate.h
@@ -13,6 +13,7 @@
 #include "protocol/generated/peer_messages.pb.h"
 #include "state/clock.h"
 #include "state/cold_state_tracker.h"
+#include "state/crash_detector.h"
 #include "state/gate_admission.h"
 #include "state/log_rate_limiter.h"
 #include "state/mesh_settings.h"
@@ -95,9 +96,13 @@
       protocol::CallRequest request,
       TimePoint deadline,
       std::shared_ptr<Cancellation> cancellation);
-  protocol::CallReply MakeReply(const std::string& attempt_id,
+  protocol::CallReply MakeReply(const protocol::CallRequest& request,
                                 TimePoint sent_at,
                                 TargetExchange& exchange);
+  /// Records a sign that the process of the target has ended.
+  void RecordProcessEnd();
+  /// Reports a crash of the target when all its connections have been closed.
+  Awaitable<> ReportCrash();
   /// Applies what the target states in a response to a request that was sent at
   /// `sent_at`.
   void RecordNotice(const HttpResponse& response, TimePoint sent_at);
@@ -135,6 +140,7 @@
   LogRateLimiter log_limiter;
   ColdStateTracker cold_state;
   TargetNotices notices;
+  CrashDetector crash_detector;
   /// Time at which this process learned of the target, and whether the target
   /// has responded since.
   std::optional<TimePoint> target_known_at;
--- a/src/node/mesh_ingress.cc
+++ b/src/node/mesh_ingress.cc
@@ -8,6 +8,7 @@
 #include "state/call_attempts.h"
 #include "state/duration.h"
 #include "state/event_log.h"
+#include "state/request_digest.h"
 #include "transport/call_client.h"
 
 namespace daisywinch {
@@ -216,6 +217,9 @@
     call.priority =
         customer->has_priority ? customer->priority : call.route->priority;
   }
+  call.message.set_digest(
+      DigestOf({call.route->name, request.method_string(), request.target(),
+                call.customer, this->service, request.body()}));
   Duration timeout = headers.timeout.value_or(kDefaultTimeout);
   if (call.route->timeout > Duration::zero()) {
     timeout = std::min(timeout, call.route->timeout);
@@ -441,6 +445,7 @@
   LogEvent(
       EventId::kRequestEnded,
       {{"request", call.attempt_id},
+       {"digest", ToText(call.message.digest())},
        {"route", call.route == nullptr ? "" : call.route->name},
        {"customer", call.customer},
        {"rank", call.priority},
--- a/src/state/event_log.cc
+++ b/src/state/event_log.cc
@@ -145,6 +145,10 @@
                      "The target states in its responses that it leaves, or "
                      "another run of it no longer does; record says what the "
                      "store has."},
+    EventDescription{EventId::kTargetCrashed, kWarning, "target-crashed",
+                     "The process of the target ended while it was running "
+                     "requests; requests holds the digests of some of them, as "
+                     "in the lines of the requests."},
     EventDescription{EventId::kAdmissionChanged, kInformation,
                      "admission-changed",
                      "The admitted fraction of a class of root requests "
--- a/src/state/event_log.h
+++ b/src/state/event_log.h
@@ -50,6 +50,7 @@
   kTargetWarm = 4002,
   kTargetMaxRateChanged = 4003,
   kTargetStatesLeaving = 4004,
+  kTargetCrashed = 4005,
   kAdmissionChanged = 5001,
   kCustomerOverRate = 5002,
   kRequestEnded = 6001,
--- a/src/transport/target_client.cc
+++ b/src/transport/target_client.cc
@@ -84,7 +84,8 @@
   if (is_new) {
     co_await connection->stream.async_connect(ToEndpoint(this->address),
                                               Await(error));
-    exchange.connection_dropped |= error == asio::error::connection_refused;
+    exchange.connection_refused = error == asio::error::connection_refused;
+    exchange.connection_dropped |= exchange.connection_refused;
   }
   if (!error && !cancellation->IsCancelled()) {
     connection->stream.socket().set_option(Tcp::no_delay(true), error);
--- a/src/transport/target_client.h
+++ b/src/transport/target_client.h
@@ -32,6 +32,8 @@
   /// The target closed an idle connection before its idle timeout, or refused a
   /// new connection.
   bool connection_dropped = false;
+  /// The target refused a new connection.
+  bool connection_refused = false;
   /// Identifies the connection for DiscardConnection(); empty if it was not
   /// returned to the pool.
   std::weak_ptr<void> connection;
