Refuse a request that ends the targets that run it

Cause: a fault that belongs to a request was remembered per target only. Each attempt was a new request to each node, so that retries and callers took it to the next target.

FatalRequests keeps the crashes of targets with the requests that ran, and the requests that targets have answered. Both are sets, merged from updates and sums in any order; the relays pass them on at once. A request that ran in three crashes is refused by every ingress and gate with 400 and reason 109, unless a target has answered it lately, another request explains the same crashes and more, or most crashes happened without it. An earlier attempt that may have run keeps its outcome.

--- a/src/coordination/traffic_relay.cc
+++ b/src/coordination/traffic_relay.cc
@@ -63,6 +63,9 @@
   if (!is_new && now - source.last_seen_at < kEarlyUpdateInterval) {
     this->urgency = {true, true};
   }
+  if (this->fatal_requests.Merge(update.crashes, now)) {
+    this->urgency = {true, true};
+  }
   const bool is_same_run = source.incarnation == incarnation;
   source.incarnation = incarnation;
   std::map<std::string, double> deltas;
@@ -92,6 +95,9 @@
   if (other == this->data_centre) {
     return;
   }
+  if (this->fatal_requests.Merge(sum.crashes, now)) {
+    this->urgency.subscribers = true;
+  }
   Source& source = this->data_centres[other];
   std::map<std::string, double> deltas;
   if (!source.relay_counts.ApplyCounts(relay, incarnation, sum, now, deltas)) {
@@ -393,6 +399,7 @@
     }
   }
   SetAdmitted(counts, sum);
+  sum.crashes = this->fatal_requests.MakeReport(now);
   return sum;
 }
 
@@ -413,6 +420,7 @@
       }
     }
   }
+  fleet.sum.crashes = this->fatal_requests.MakeReport(now);
   return fleet;
 }
 
--- a/src/coordination/traffic_relay.h
+++ b/src/coordination/traffic_relay.h
@@ -12,6 +12,7 @@
 #include "coordination/relayed_counts.h"
 #include "coordination/traffic_sum.h"
 #include "state/clock.h"
+#include "state/fatal_requests.h"
 #include "state/mesh_configuration.h"
 
 namespace daisywinch {
@@ -208,6 +209,8 @@
   std::uint32_t reached_nodes = 0;
   std::uint32_t reached_local_nodes = 0;
   Urgency urgency;
+  /// Crashes of targets that any node reported.
+  FatalRequests fatal_requests;
 };
 
 }  // namespace daisywinch
--- a/src/coordination/traffic_sum.h
+++ b/src/coordination/traffic_sum.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "state/clock.h"
+#include "state/fatal_requests.h"
 #include "state/root_admission.h"
 #include "state/route_cost_estimator.h"
 
@@ -59,6 +60,7 @@
 struct TrafficUpdate {
   std::map<std::string, CustomerUsage> customers;
   NodeLoad load;
+  CrashReport crashes;
   /// The node is shutting down and admits no more requests.
   bool is_leaving = false;
   /// Time since the start of the node; all counts begin there.
@@ -79,6 +81,7 @@
 struct TrafficSum {
   std::map<std::string, CustomerUsage> customers;
   LoadSum load;
+  CrashReport crashes;
   /// Nodes that sent an update recently; the traffic of the others is
   /// estimated.
   std::uint32_t members = 0;
--- a/src/node/mesh_gate.cc
+++ b/src/node/mesh_gate.cc
@@ -11,6 +11,7 @@
 #include "platform/attempt_messages.h"
 #include "state/duration.h"
 #include "state/event_log.h"
+#include "state/key_digest.h"
 #include "transport/call_client.h"
 
 namespace daisywinch {
@@ -38,12 +39,14 @@
                    const Clock& clock,
                    const MeshSettings& settings,
                    const MeshViewHolder& views,
-                   RouteCostEstimator& cost_estimator)
+                   RouteCostEstimator& cost_estimator,
+                   FatalRequests& fatal_requests)
     : context(context),
       clock(clock),
       target_address(settings.target_address),
       views(views),
       cost_estimator(cost_estimator),
+      fatal_requests(fatal_requests),
       target(context, settings.target_address, kBodyLimit),
       health_timer(context),
       log_limiter(clock.Now()) {}
@@ -145,6 +148,9 @@
       this->clock.Now() +
       std::chrono::microseconds(request.remaining_microseconds());
   RefusalReason reason = this->ReasonToRefuse();
+  if (this->fatal_requests.IsFatal(request.digest(), this->clock.Now())) {
+    reason = RefusalReason::kFatalRequest;
+  }
   if (reason == RefusalReason::kNone) {
     reason = co_await this->WaitForSlot(request, deadline, cancellation);
   }
@@ -306,6 +312,7 @@
           platform::ClassifyResponse(exchange.response, request.attempt_id())) {
         case platform::ResponseClass::kAnswered:
           this->RecordNotice(exchange.response, sent_at);
+          this->fatal_requests.RecordAnswered(request.digest(), now);
           reply.set_outcome(protocol::OUTCOME_ANSWERED);
           platform::MoveToReply(exchange.response, reply);
           break;
@@ -397,6 +404,10 @@
   if (running.empty() || was_leaving) {
     co_return;
   }
+  TargetCrash crash;
+  crash.id = RandomNumber();
+  crash.running = running;
+  this->fatal_requests.RecordCrash(std::move(crash), this->clock.Now());
   std::string digests;
   std::size_t count = 0;
   for (const RequestDigest digest : running) {
--- a/src/node/mesh_gate.h
+++ b/src/node/mesh_gate.h
@@ -14,6 +14,7 @@
 #include "state/clock.h"
 #include "state/cold_state_tracker.h"
 #include "state/crash_detector.h"
+#include "state/fatal_requests.h"
 #include "state/gate_admission.h"
 #include "state/log_rate_limiter.h"
 #include "state/mesh_settings.h"
@@ -38,7 +39,8 @@
            const Clock& clock,
            const MeshSettings& settings,
            const MeshViewHolder& views,
-           RouteCostEstimator& cost_estimator);
+           RouteCostEstimator& cost_estimator,
+           FatalRequests& fatal_requests);
 
   /// Starts health checks, which are sent while it is uncertain whether the
   /// target is cold, or whether what it last stated still holds.
@@ -130,6 +132,7 @@
   Address target_address;
   const MeshViewHolder& views;
   RouteCostEstimator& cost_estimator;
+  FatalRequests& fatal_requests;
   std::shared_ptr<const MeshView> view;
   /// Record of the local target in the store; null while it is not registered.
   const MeshTarget* local_target = nullptr;
--- a/src/node/mesh_ingress.cc
+++ b/src/node/mesh_ingress.cc
@@ -90,6 +90,7 @@
                          std::uint64_t seed,
                          const MeshViewHolder& views,
                          RouteCostEstimator& cost_estimator,
+                         FatalRequests& fatal_requests,
                          CallSender& sender)
     : clock(clock),
       service(settings.service),
@@ -101,6 +102,7 @@
       balancer(settings.data_centre, seed),
       rate_limiter(settings.bounds),
       cost_estimator(cost_estimator),
+      fatal_requests(fatal_requests),
       return_schedule(seed),
       log_limiter(clock.Now()) {}
 
@@ -220,6 +222,9 @@
   call.message.set_digest(
       DigestOf({call.route->name, request.method_string(), request.target(),
                 call.customer, this->service, request.body()}));
+  if (this->fatal_requests.IsFatal(call.message.digest(), call.started)) {
+    return RefusalReason::kFatalRequest;
+  }
   Duration timeout = headers.timeout.value_or(kDefaultTimeout);
   if (call.route->timeout > Duration::zero()) {
     timeout = std::min(timeout, call.route->timeout);
@@ -275,7 +280,20 @@
     }
     tried_targets.insert(target->id);
     call.tried_targets += (call.tried_targets.empty() ? "" : ",") + target->id;
-    reply = co_await this->SendOnce(call, *target, cancellation);
+    protocol::CallReply latest =
+        co_await this->SendOnce(call, *target, cancellation);
+    const bool is_fatal =
+        latest.reason() ==
+            static_cast<std::uint32_t>(RefusalReason::kFatalRequest) ||
+        this->fatal_requests.IsFatal(call.message.digest(), this->clock.Now());
+    if (is_fatal && reply.outcome() == protocol::OUTCOME_UNKNOWN) {
+      // An earlier attempt may have run.
+      co_return reply;
+    }
+    reply = std::move(latest);
+    if (is_fatal) {
+      co_return reply;
+    }
     if (cancellation->IsCancelled() || this->clock.Now() >= call.deadline) {
       co_return reply;
     }
@@ -390,11 +408,14 @@
   this->rate_limiter.ApplyUsageUpdate(kOtherNodes, kOtherNodesIncarnation,
                                       update.customers, false, now);
   this->root_admitter.ApplyFleetLoad(std::move(update.load), now);
+  this->fatal_requests.Merge(update.crashes, now);
+  this->LogVerdicts(now);
 }
 
 bool MeshIngress::HasUrgentUpdate() const {
   const TimePoint now = this->clock.Now();
   return this->rate_limiter.HasUrgentUpdate(now) ||
+         this->fatal_requests.HasUrgentReport() ||
          this->root_admitter.HasUrgentGrowth(now);
 }
 
@@ -404,7 +425,23 @@
   load.service = this->service;
   load.costs = this->cost_estimator.Costs(now);
   this->root_admitter.ApplyLocalLoad(this->ip, load, now);
-  return {this->rate_limiter.MakeUsageUpdate(now), std::move(load), false};
+  this->LogVerdicts(now);
+  return {this->rate_limiter.MakeUsageUpdate(now), std::move(load),
+          this->fatal_requests.MakeReport(now), false};
+}
+
+void MeshIngress::LogVerdicts(TimePoint now) {
+  std::set<RequestDigest> verdicts;
+  for (const RequestDigest digest : this->fatal_requests.Verdicts(now)) {
+    verdicts.insert(digest);
+    if (!this->logged_verdicts.contains(digest)) {
+      LogEvent(EventId::kRequestJudgedFatal,
+               {{"digest", ToText(digest)},
+                {"crashes", static_cast<std::uint64_t>(
+                                this->fatal_requests.CrashCount(digest))}});
+    }
+  }
+  this->logged_verdicts = std::move(verdicts);
 }
 
 void MeshIngress::LogAdmissionChanges(TimePoint now) {
--- a/src/node/mesh_ingress.h
+++ b/src/node/mesh_ingress.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -16,6 +17,7 @@
 #include "node/call_sender.h"
 #include "platform/attempt_messages.h"
 #include "state/clock.h"
+#include "state/fatal_requests.h"
 #include "state/log_rate_limiter.h"
 #include "state/mesh_load_balancer.h"
 #include "state/mesh_settings.h"
@@ -48,6 +50,7 @@
               std::uint64_t seed,
               const MeshViewHolder& views,
               RouteCostEstimator& cost_estimator,
+              FatalRequests& fatal_requests,
               CallSender& sender);
 
   /// Handles one request: admits or refuses it, sends it to one or more targets
@@ -107,6 +110,8 @@
       const MeshTarget& target,
       std::shared_ptr<Cancellation> cancellation);
   void LogOverRate(const Call& call);
+  /// Logs the requests that are refused since the last call.
+  void LogVerdicts(TimePoint now);
   /// Logs the admitted fractions that have changed.
   void LogAdmissionChanges(TimePoint now);
   RetryBudget& RetryBudgetFor(const Call& call);
@@ -135,6 +140,9 @@
   WeightedServiceChooser weighted_service_chooser;
   DistributedRateLimiter rate_limiter;
   RouteCostEstimator& cost_estimator;
+  FatalRequests& fatal_requests;
+  /// Requests whose verdict has been logged.
+  std::set<RequestDigest> logged_verdicts;
   RootAdmitter root_admitter;
   ReturnSchedule return_schedule;
   std::map<RootClass, double> logged_fractions;
--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -45,10 +45,6 @@
   return limits;
 }
 
-std::uint64_t RandomNumber() {
-  return std::stoull(RandomHex(sizeof(std::uint64_t)), nullptr, 16);
-}
-
 HttpResponse MakeTextResponse(http::status status, std::string text) {
   HttpResponse response(status, 11);
   response.set(http::field::content_type, "text/plain; version=0.0.4");
@@ -72,7 +68,8 @@
            this->clock,
            this->settings,
            this->views,
-           this->cost_estimator),
+           this->cost_estimator,
+           this->fatal_requests),
       router(this->traffic_context,
              nullptr,
              this->clock,
@@ -90,6 +87,7 @@
               RandomNumber(),
               this->views,
               this->cost_estimator,
+              this->fatal_requests,
               this->router),
       caller_server(this->traffic_context,
                     CallerServerLimits(),
--- a/src/node/mesh_node.h
+++ b/src/node/mesh_node.h
@@ -68,6 +68,8 @@
   MeshDirectory directory;
   StoreWatcher watcher;
   RouteCostEstimator cost_estimator;
+  /// Used by the traffic thread only.
+  FatalRequests fatal_requests;
   MeshGate gate;
   GateRouter router;
   MeshIngress ingress;
--- a/src/protocol/traffic_codec.cc
+++ b/src/protocol/traffic_codec.cc
@@ -100,6 +100,46 @@
   return cost;
 }
 
+/// An age for a message, in milliseconds; at most a day.
+std::uint32_t EncodeAge(Duration age) {
+  constexpr std::int64_t kMaxAgeMs = 24 * 60 * 60 * 1000;
+  const std::int64_t milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(milliseconds, 0, kMaxAgeMs));
+}
+
+template <typename Message>
+void EncodeCrashes(const CrashReport& report, Message& message) {
+  for (const TargetCrash& crash : report.crashes) {
+    protocol::CrashNews* row = message.add_crashes();
+    row->set_id(crash.id);
+    row->set_age_ms(EncodeAge(crash.age));
+    for (const RequestDigest digest : crash.running) {
+      row->add_running(digest);
+    }
+  }
+  for (const ClearedRequest& request : report.cleared) {
+    protocol::ClearedNews* row = message.add_cleared();
+    row->set_digest(request.digest);
+    row->set_age_ms(EncodeAge(request.age));
+  }
+}
+
+template <typename Message>
+CrashReport DecodeCrashes(const Message& message) {
+  CrashReport report;
+  for (const protocol::CrashNews& row : message.crashes()) {
+    report.crashes.push_back({row.id(),
+                              {row.running().begin(), row.running().end()},
+                              ClampAge(row.age_ms())});
+  }
+  for (const protocol::ClearedNews& row : message.cleared()) {
+    report.cleared.push_back({row.digest(), ClampAge(row.age_ms())});
+  }
+  return report;
+}
+
 }  // namespace
 
 void EncodeTrafficUpdate(const TrafficUpdate& traffic,
@@ -111,6 +151,7 @@
   for (const RouteCost& cost : traffic.load.costs) {
     EncodeCost(cost, message);
   }
+  EncodeCrashes(traffic.crashes, message);
 }
 
 TrafficUpdate DecodeTrafficUpdate(const protocol::NodeNews& message) {
@@ -124,6 +165,7 @@
   for (const protocol::RouteCost& row : message.costs()) {
     traffic.load.costs.push_back(DecodeCost(row));
   }
+  traffic.crashes = DecodeCrashes(message);
   return traffic;
 }
 
@@ -140,6 +182,7 @@
   for (const auto& [route, cost] : sum.load.costs) {
     EncodeCost(cost, message);
   }
+  EncodeCrashes(sum.crashes, message);
 }
 
 TrafficSum DecodeTrafficSum(const protocol::SumNews& message) {
@@ -155,6 +198,7 @@
   for (const protocol::RouteCost& row : message.costs()) {
     sum.load.costs[row.route()] = DecodeCost(row);
   }
+  sum.crashes = DecodeCrashes(message);
   return sum;
 }
 
--- a/src/state/event_log.cc
+++ b/src/state/event_log.cc
@@ -158,6 +158,10 @@
                      "Requests of a customer are refused because it is over "
                      "its rate and burst; logged at most once per second for "
                      "each customer."},
+    EventDescription{EventId::kRequestJudgedFatal, kWarning,
+                     "request-judged-fatal",
+                     "A request is refused from now on, because targets ended "
+                     "whenever they ran it; crashes says how many."},
     EventDescription{EventId::kRequestEnded, kInformation, "request-ended",
                      "The ingress responded to a caller or a target. Served "
                      "requests are sampled; left_out counts the lines that "
--- a/src/state/event_log.h
+++ b/src/state/event_log.h
@@ -53,6 +53,7 @@
   kTargetCrashed = 4005,
   kAdmissionChanged = 5001,
   kCustomerOverRate = 5002,
+  kRequestJudgedFatal = 5003,
   kRequestEnded = 6001,
   kCallEnded = 6002,
 };
--- a/src/state/key_digest.cc
+++ b/src/state/key_digest.cc
@@ -50,6 +50,11 @@
   return ToHex(bytes.data(), bytes.size());
 }
 
+std::uint64_t RandomNumber() {
+  constexpr int kHexadecimal = 16;
+  return std::stoull(RandomHex(sizeof(std::uint64_t)), nullptr, kHexadecimal);
+}
+
 bool EqualInConstantTime(std::string_view left, std::string_view right) {
   return left.size() == right.size() &&
          CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
--- a/src/state/key_digest.h
+++ b/src/state/key_digest.h
@@ -1,6 +1,7 @@
 #ifndef DAISYWINCH_STATE_KEY_DIGEST_H
 #define DAISYWINCH_STATE_KEY_DIGEST_H
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -17,6 +18,9 @@
 /// in hexadecimal. Aborts the process if the generator fails.
 std::string RandomHex(int byte_count);
 
+/// A random number from the same generator.
+std::uint64_t RandomNumber();
+
 /// Compares two texts in time that does not depend on their contents. Texts of
 /// different length are unequal at once.
 bool EqualInConstantTime(std::string_view left, std::string_view right);
--- a/src/state/refusal.cc
+++ b/src/state/refusal.cc
@@ -27,6 +27,8 @@
             "The body is over the limit"},
     Refusal{RefusalReason::kHeaderTooLarge, 431, kNotRun, false,
             "The header is over the limit"},
+    Refusal{RefusalReason::kFatalRequest, 400, kNotRun, false,
+            "The request ended the targets that ran it"},
     Refusal{RefusalReason::kNoTarget, 503, kNotRun, true,
             "No target of the service takes work"},
     Refusal{RefusalReason::kShedByGate, 503, kNotRun, true,
--- a/src/state/refusal.h
+++ b/src/state/refusal.h
@@ -19,6 +19,7 @@
   kOverRate = 106,
   kBodyTooLarge = 107,
   kHeaderTooLarge = 108,
+  kFatalRequest = 109,
   kNoTarget = 201,
   kShedByGate = 202,
   kDeadlineTooShort = 203,
--- a/tests/coordination/traffic_relay_test.cc
+++ b/tests/coordination/traffic_relay_test.cc
@@ -14,6 +14,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "coordination/distributed_rate_limiter.h"
+#include "protocol/traffic_codec.h"
 #include "state/token_bucket.h"
 
 namespace daisywinch {
@@ -605,6 +606,34 @@
   BOOST_TEST(simulation.WronglyRefusedFraction() <= 0.03);
 }
 
+// A request that ends targets has to be known in all data centres.
+BOOST_AUTO_TEST_CASE(crashes_of_targets_are_passed_on_with_the_sums) {
+  const TimePoint now = TimePoint(std::chrono::hours(1));
+  TrafficRelay east("10.0.0.1", "east");
+  TrafficRelay west("10.1.0.1", "west");
+  TrafficUpdate update;
+  update.crashes.crashes = {{11, {7, 8}, milliseconds(60)}};
+  update.crashes.cleared = {{8, milliseconds(10)}};
+  east.ApplyNodeUpdate("10.0.0.2", 1, update, now);
+  BOOST_TEST(east.TakeUrgency().data_centres);
+  protocol::SumNews message;
+  EncodeTrafficSum(east.MakeLocalSum(now), message);
+  west.ApplyDataCentreSum("east", "10.0.0.1", 1, DecodeTrafficSum(message),
+                          now);
+  BOOST_TEST(west.TakeUrgency().subscribers);
+  const CrashReport report = west.MakeFleetSum(now).sum.crashes;
+  BOOST_REQUIRE(report.crashes.size() == 1);
+  BOOST_TEST(report.crashes[0].id == 11);
+  BOOST_TEST((report.crashes[0].running == std::set<RequestDigest>{7, 8}));
+  BOOST_TEST((report.crashes[0].age == milliseconds(60)));
+  BOOST_REQUIRE(report.cleared.size() == 1);
+  BOOST_TEST(report.cleared[0].digest == 8);
+  // What is known already is not urgent.
+  west.ApplyDataCentreSum("east", "10.0.0.1", 1, DecodeTrafficSum(message),
+                          now + milliseconds(500));
+  BOOST_TEST(!west.TakeUrgency().subscribers);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace daisywinch
--- a/tests/standins/attempt_target.cc
+++ b/tests/standins/attempt_target.cc
@@ -1,6 +1,7 @@
 #include "standins/attempt_target.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 #include "standins/query.h"
@@ -20,6 +21,7 @@
 constexpr char kServerLimit[] = "Server-Limit";
 constexpr char kServerLeaving[] = "Server-Leaving";
 constexpr char kNestedCallHeader[] = "X-Onward";
+constexpr char kFatalPath[] = "/fatal";
 
 }  // namespace
 
@@ -95,6 +97,9 @@
   co_await work_timer->async_wait(Await(ignored));
   cancellation->ClearAction();
   run->is_cancelled = cancellation->IsCancelled();
+  if (run->path.find(kFatalPath) != std::string::npos) {
+    std::_Exit(EXIT_FAILURE);
+  }
   bool has_nested_call_succeeded = true;
   if (!run->is_cancelled &&
       !std::string_view(request[kNestedCallHeader]).empty()) {
--- a/tests/standins/attempt_target.h
+++ b/tests/standins/attempt_target.h
@@ -17,6 +17,8 @@
 /// Stand-in for a target of the users' platform, which identifies each request
 /// by the caller's attempt id.
 ///
+/// Its process ends when it runs a request whose path contains "/fatal".
+///
 /// PUT /test/behaviour?NAME=VALUE changes its behaviour; parameters that are
 /// not named are reset to their defaults. GET /test/log returns the requests
 /// that it started.
--- a/tests/support/mesh_fleet.cc
+++ b/tests/support/mesh_fleet.cc
@@ -143,6 +143,12 @@
   WaitUntil([&] { return Send(vm.target_address, probe).result_int() == 200; });
 }
 
+void MeshFleet::RestartTarget(MeshVm& vm) {
+  ++vm.target_born;
+  this->StartTarget(vm);
+  this->PublishTarget(vm, false);
+}
+
 void MeshFleet::StartNode(MeshVm& vm) {
   this->WriteSettings(vm, boost::json::serialize(this->MakeSettings(vm)));
   this->RunNode(vm);
@@ -233,7 +239,7 @@
 void MeshFleet::PublishTarget(const MeshVm& vm, bool is_leaving, int sequence) {
   const boost::json::object record = {
       {"Address", vm.target_proxy_address.ToString()},
-      {"born", 1},
+      {"born", vm.target_born},
       {"Info",
        {{"Service", vm.service},
         {"Version", "v1"},
--- a/tests/support/mesh_fleet.h
+++ b/tests/support/mesh_fleet.h
@@ -1,6 +1,7 @@
 #ifndef DAISYWINCH_TESTS_SUPPORT_MESH_FLEET_H
 #define DAISYWINCH_TESTS_SUPPORT_MESH_FLEET_H
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -20,6 +21,8 @@
   std::string data_centre;
   std::string service;
   std::string target_id;
+  /// Start of the target's run, as its record says.
+  std::int64_t target_born = 1;
   Address caller_address;
   Address peer_address;
   Address ready_address;
@@ -64,6 +67,8 @@
   std::string SettingsFile(const MeshVm& vm) const;
   void WriteSettings(const MeshVm& vm, const std::string& text);
   void StartTarget(MeshVm& vm);
+  /// Starts the next run of a target whose process has ended, and registers it.
+  void RestartTarget(MeshVm& vm);
   bool IsReady(const MeshVm& vm);
 
   /// Writes the configuration. An empty `school_key` withdraws the key.
