Believe a refusal only with the request's attempt id

It can happen here: ClassifyResponse took a response without an attempt id for this request's, so that an unsigned refusal or a 421 that stands there became 'not run'; the request was then sent to a second target or refused with a time to return. A refusal with another id was dropped already.

Targets echo the id in all responses, so one without it is none to this request. An unsigned 503, 429 or 408 that doesn't state that the request has not run is not passed on any more either, as callers take these statuses for that statement. A response with an attempt id is none to a health check, which uses the same connections; the connection is closed.

Before: mesh_path/refusal_without_the_attempt_id_does_not_mean_not_run got 503 with Retry-After instead of 502; response_without_the_attempt_id_says_nothing_of_it failed for six statuses, refusal_without_a_statement_is_not_passed_on for three, response_to_a_request_is_none_to_a_health_check. Of the older checks, three used responses without an id; they have one now, and each is checked with another id too. That an unsigned 503 is passed on was such a check; it is the fault.

--- a/src/node/mesh_gate.cc
+++ b/src/node/mesh_gate.cc
@@ -376,14 +376,18 @@
   if (exchange.end != TargetExchange::End::kAnswered) {
     co_return;
   }
-  const platform::HealthResponse answer =
+  const std::optional<platform::HealthResponse> answer =
       platform::ReadHealthResponse(exchange.response);
+  if (!answer) {
+    this->target.DiscardConnection(exchange);
+    co_return;
+  }
   const std::string local_id = this->LocalTargetId();
-  if (answer.target_id == local_id) {
-    this->cold_state.RecordHealth(answer.cold_left, this->clock.Now());
+  if (answer->target_id == local_id) {
+    this->cold_state.RecordHealth(answer->cold_left, this->clock.Now());
   }
   // A target that isn't healthy may not name itself.
-  if (answer.target_id.empty() || answer.target_id == local_id) {
+  if (answer->target_id.empty() || answer->target_id == local_id) {
     this->RecordNotice(exchange.response, sent_at);
   }
 }
--- a/src/platform/attempt_messages.cc
+++ b/src/platform/attempt_messages.cc
@@ -66,6 +66,14 @@
   return is_valid ? std::optional<double>(number) : std::nullopt;
 }
 
+/// Whether callers take the status as a statement that the request has not run
+/// and never will.
+bool PromisesNotRun(http::status status) {
+  return status == http::status::service_unavailable ||
+         status == http::status::too_many_requests ||
+         status == http::status::request_timeout;
+}
+
 std::string ToMilliseconds(Duration duration) {
   const std::int64_t count =
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -132,8 +140,7 @@
 
 ResponseClass ClassifyResponse(const HttpResponse& response,
                                const std::string& attempt_id) {
-  const std::string_view echoed = response[kAttemptId];
-  if (!echoed.empty() && echoed != attempt_id) {
+  if (response[kAttemptId] != attempt_id) {
     return ResponseClass::kInvalid;
   }
   if (response.result() == http::status::misdirected_request) {
@@ -145,6 +152,9 @@
   const int status = static_cast<int>(response.result_int());
   const bool is_success = status >= kFirstSuccess && status < kFirstRedirect;
   const bool is_signed = response.find(kSignature) != response.end();
+  if (PromisesNotRun(response.result()) && !is_signed) {
+    return ResponseClass::kInvalid;
+  }
   if (is_success &&
       (!is_signed ||
        response.find(http::field::content_encoding) != response.end())) {
@@ -222,7 +232,10 @@
   return request;
 }
 
-HealthResponse ReadHealthResponse(const HttpResponse& response) {
+std::optional<HealthResponse> ReadHealthResponse(const HttpResponse& response) {
+  if (response.find(kAttemptId) != response.end()) {
+    return std::nullopt;
+  }
   HealthResponse health;
   health.is_healthy = response.result() == http::status::ok;
   health.target_id = std::string(response[kInstanceId]);
--- a/src/platform/attempt_messages.h
+++ b/src/platform/attempt_messages.h
@@ -41,8 +41,9 @@
   kNotRun,
   /// Another target now has the address; the request was not run.
   kOtherTarget,
-  /// Not a valid response to this request: it has another attempt id, or it is
-  /// a success without a signature or with a content encoding.
+  /// Not a valid response to this request: it has another attempt id or none,
+  /// it is a success without a signature or with a content encoding, or its
+  /// status says that the request has not run, but the target does not.
   kInvalid,
 };
 
@@ -76,7 +77,8 @@
 };
 
 HttpRequest MakeHealthRequest(const std::string& health_path);
-HealthResponse ReadHealthResponse(const HttpResponse& response);
+/// Nothing if the response belongs to a request instead of a health check.
+std::optional<HealthResponse> ReadHealthResponse(const HttpResponse& response);
 
 }  // namespace daisywinch::platform
 
--- a/tests/end_to_end/mesh_path_test.cc
+++ b/tests/end_to_end/mesh_path_test.cc
@@ -203,6 +203,18 @@
   BOOST_TEST(this->CountRuns() == 0);
 }
 
+// Guards against a refusal of another request that is taken for this one's: the
+// request may be running.
+BOOST_AUTO_TEST_CASE(refusal_without_the_attempt_id_does_not_mean_not_run) {
+  for (MeshVm* vm : {&this->east, &this->west}) {
+    this->fleet.SetTargetBehaviour(*vm, "sheds=1&unechoed=1");
+  }
+  const HttpResponse response =
+      this->fleet.SendAttempt(this->east, this->MakeBookCall());
+  BOOST_TEST(response.result_int() == 502);
+  BOOST_TEST(response["Retry-After"].empty());
+}
+
 BOOST_AUTO_TEST_CASE(
     responses_with_a_wrong_attempt_id_or_no_signature_are_dropped) {
   for (const char* behaviour : {"garbles=1", "unsigned=1"}) {
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -3,7 +3,9 @@
 #include "platform/operator_documents.h"
 
 #include <map>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include <boost/test/unit_test.hpp>
 
@@ -176,13 +178,67 @@
   BOOST_TEST(
       (platform::ClassifyResponse(response, "a") == ResponseClass::kInvalid));
   HttpResponse shed(http::status::service_unavailable, 11);
-  BOOST_TEST(
-      (platform::ClassifyResponse(shed, "a") == ResponseClass::kAnswered));
+  shed.set("X-Daisywinch-Attempt-Id", "a");
   shed.set("X-Daisywinch-Not-Executed", "1");
   BOOST_TEST((platform::ClassifyResponse(shed, "a") == ResponseClass::kNotRun));
+  BOOST_TEST(
+      (platform::ClassifyResponse(shed, "b") == ResponseClass::kInvalid));
   HttpResponse other(http::status::misdirected_request, 11);
+  other.set("X-Daisywinch-Attempt-Id", "a");
   BOOST_TEST(
       (platform::ClassifyResponse(other, "a") == ResponseClass::kOtherTarget));
+  BOOST_TEST(
+      (platform::ClassifyResponse(other, "b") == ResponseClass::kInvalid));
+}
+
+// Guards against a refusal that a target wrote before, or for another request,
+// and that stands where the response to this one is due.
+BOOST_AUTO_TEST_CASE(response_without_the_attempt_id_says_nothing_of_it) {
+  using platform::ResponseClass;
+  for (const http::status status :
+       {http::status::ok, http::status::service_unavailable,
+        http::status::too_many_requests, http::status::misdirected_request,
+        http::status::bad_request, http::status::internal_server_error}) {
+    HttpResponse response(status, 11);
+    response.set("X-Daisywinch-Not-Executed", "1");
+    response.set("X-Daisywinch-Response-Signature", "s");
+    BOOST_TEST(
+        (platform::ClassifyResponse(response, "a") == ResponseClass::kInvalid));
+  }
+}
+
+// These statuses tell callers that the request has not run, which only the
+// target can know.
+BOOST_AUTO_TEST_CASE(refusal_without_a_statement_is_not_passed_on) {
+  using platform::ResponseClass;
+  for (const http::status status :
+       {http::status::service_unavailable, http::status::too_many_requests,
+        http::status::request_timeout}) {
+    HttpResponse response(status, 11);
+    response.set("X-Daisywinch-Attempt-Id", "a");
+    BOOST_TEST(
+        (platform::ClassifyResponse(response, "a") == ResponseClass::kInvalid));
+    response.set("X-Daisywinch-Response-Signature", "s");
+    BOOST_TEST((platform::ClassifyResponse(response, "a") ==
+                ResponseClass::kAnswered));
+  }
+  HttpResponse failure(http::status::internal_server_error, 11);
+  failure.set("X-Daisywinch-Attempt-Id", "a");
+  BOOST_TEST(
+      (platform::ClassifyResponse(failure, "a") == ResponseClass::kAnswered));
+}
+
+BOOST_AUTO_TEST_CASE(response_to_a_request_is_none_to_a_health_check) {
+  HttpResponse response(http::status::ok, 11);
+  response.set("X-Daisywinch-Instance-Id", "i-1");
+  response.set("X-Daisywinch-Cold-Start-Ms", "250");
+  const std::optional<platform::HealthResponse> health =
+      platform::ReadHealthResponse(response);
+  BOOST_REQUIRE(health.has_value());
+  BOOST_TEST(health->target_id == "i-1");
+  BOOST_TEST((health->cold_left == std::chrono::milliseconds(250)));
+  response.set("X-Daisywinch-Attempt-Id", "a");
+  BOOST_TEST(!platform::ReadHealthResponse(response).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(statements_of_a_target_are_read) {
--- a/tests/standins/attempt_target.cc
+++ b/tests/standins/attempt_target.cc
@@ -135,7 +135,9 @@
 HttpResponse AttemptTarget::MakeResponse(const HttpRequest& request,
                                          http::status status) {
   HttpResponse response(status, 11);
-  response.set(kAttemptId, std::string(request[kAttemptId]));
+  if (!this->omits_attempt_id) {
+    response.set(kAttemptId, std::string(request[kAttemptId]));
+  }
   response.set(kInstanceId, this->id);
   this->AddNotice(response);
   response.prepare_payload();
@@ -161,6 +163,7 @@
         std::chrono::milliseconds(QueryNumber(target, "cold_ms", 0));
     this->sheds_requests = QueryNumber(target, "sheds", 0) != 0;
     this->returns_wrong_attempt_id = QueryNumber(target, "garbles", 0) != 0;
+    this->omits_attempt_id = QueryNumber(target, "unechoed", 0) != 0;
     this->omits_signature = QueryNumber(target, "unsigned", 0) != 0;
     this->never_responds = QueryNumber(target, "hangs", 0) != 0;
     this->fails_requests = QueryNumber(target, "fails", 0) != 0;
--- a/tests/standins/attempt_target.h
+++ b/tests/standins/attempt_target.h
@@ -65,6 +65,8 @@
   bool sheds_requests = false;
   /// Responds with an attempt id other than that of the request.
   bool returns_wrong_attempt_id = false;
+  /// Responds without an attempt id.
+  bool omits_attempt_id = false;
   /// Responds without a signature.
   bool omits_signature = false;
   /// Starts requests and does not respond to them for 60 seconds.
