Read on beside a faulty entry in the store

An operator of a similar system reported that one odd entry among those of the targets, nested deeply, with a number too large or a port out of range, ended the nodes that read it or kept them from reading. But an entry with an empty value was an error of its whole page: no node read the list or any later change, and a node that started never became ready.

Cause: the fields of an item were checked together with those of the page, and an empty text counts as missing. Items are read each by itself now: without a valid value they name no target, without a valid revision they have that of the page, and they still count as present. A missing key remains an error of the page, as it can't be told what is missing. Refused entries are logged within a limit.

Random records of targets are read or refused (random_records_of_targets).

--- a/src/node/store_watcher.cc
+++ b/src/node/store_watcher.cc
@@ -82,7 +82,8 @@
       store(store),
       random(seed),
       directory(directory),
-      on_change(std::move(on_change)) {}
+      on_change(std::move(on_change)),
+      refusal_log_limiter(clock.Now()) {}
 
 void StoreWatcher::Start() {
   for (const std::string_view prefix :
@@ -593,8 +594,14 @@
   std::optional<MeshTarget> target =
       platform::DecodeTarget(id, item.value, errors);
   if (!target) {
-    LogEvent(EventId::kTargetRefused,
-             {{"target", id}, {"reason", errors.Errors().front().ToString()}});
+    const std::optional<std::uint64_t> left_out =
+        this->refusal_log_limiter.TryAcquire(true, this->clock.Now());
+    if (left_out) {
+      LogEvent(EventId::kTargetRefused,
+               {{"target", id},
+                {"reason", errors.Errors().front().ToString()},
+                {"left_out", *left_out}});
+    }
     this->directory.RemoveTarget(id, position, this->clock.Now());
   }
   return target;
--- a/src/node/store_watcher.h
+++ b/src/node/store_watcher.h
@@ -16,6 +16,7 @@
 #include "platform/store_calls.h"
 #include "protocol/generated/news_messages.pb.h"
 #include "state/clock.h"
+#include "state/log_rate_limiter.h"
 #include "state/settings.h"
 #include "state/store_position.h"
 #include "transport/asio.h"
@@ -160,6 +161,7 @@
   std::mt19937_64 random;
   MeshDirectory& directory;
   std::function<void()> on_change;
+  LogRateLimiter refusal_log_limiter;
   std::map<std::string, Progress, std::less<>> progress_by_prefix;
   /// Prefixes that have been listed at least once.
   std::set<std::string> listed_prefixes;
--- a/src/platform/store_calls.cc
+++ b/src/platform/store_calls.cc
@@ -56,10 +56,21 @@
   return bytes;
 }
 
-StoreItem ReadItem(ObjectReader& reader) {
+/// Reads an item. Anyone may have written its value, so that a faulty one must
+/// not keep the other items of the page from being read: without a valid value
+/// the item has an empty one, and without a valid revision that of the page.
+/// Only a missing key is an error of the page.
+StoreItem ReadItem(const boost::json::value& json,
+                   std::uint64_t page_revision,
+                   ValidationErrorList& page_errors) {
   StoreItem item;
-  item.key = reader.String("Key");
+  item.key = ObjectReader(json, "", page_errors).String("Key");
+  ValidationErrorList errors(item.key);
+  ObjectReader reader(json, "", errors);
   item.revision = reader.Integer("Rev", kRevisionRange);
+  if (!errors.empty()) {
+    item.revision = page_revision;
+  }
   item.is_removed = reader.Boolean("Removed", false);
   if (!item.is_removed && reader.Has("Value")) {
     item.value = DecodeBase64(reader.String("Value", ""));
@@ -104,8 +115,8 @@
     page.position.revision = reader.Integer("StoreRevision", kRevisionRange);
     page.has_more = reader.Boolean("HasMore", false);
     const std::string_view list = reader.Has("events") ? "events" : "items";
-    for (ObjectReader& item : reader.Objects(list)) {
-      page.items.push_back(ReadItem(item));
+    for (const boost::json::value& item : reader.Array(list)) {
+      page.items.push_back(ReadItem(item, page.position.revision, errors));
     }
   }
   if (!errors.empty()) {
--- a/src/state/object_reader.cc
+++ b/src/state/object_reader.cc
@@ -241,17 +241,22 @@
          this->object->if_contains({name.data(), name.size()}) != nullptr;
 }
 
-std::vector<ObjectReader> ObjectReader::Objects(std::string_view name) {
-  std::vector<ObjectReader> readers;
+const boost::json::array& ObjectReader::Array(std::string_view name) {
+  static const boost::json::array none;
   const boost::json::value* value = this->Find(name, true);
   if (value == nullptr) {
-    return readers;
+    return none;
   }
   if (!value->is_array()) {
     this->AddError(name, "is not a list", "write a list in square brackets");
-    return readers;
+    return none;
   }
-  for (const boost::json::value& item : value->get_array()) {
+  return value->get_array();
+}
+
+std::vector<ObjectReader> ObjectReader::Objects(std::string_view name) {
+  std::vector<ObjectReader> readers;
+  for (const boost::json::value& item : this->Array(name)) {
     readers.emplace_back(
         item, this->PointerTo(name) + "/" + std::to_string(readers.size()),
         *this->errors);
--- a/src/state/object_reader.h
+++ b/src/state/object_reader.h
@@ -58,6 +58,8 @@
   /// empty if the field is missing.
   std::vector<std::pair<std::string, ObjectReader>> ObjectMap(
       std::string_view name);
+  /// The values in an array; the field is required.
+  const boost::json::array& Array(std::string_view name);
   /// Readers of the objects in an array; the field is required.
   std::vector<ObjectReader> Objects(std::string_view name);
 
--- a/tests/end_to_end/mesh_path_test.cc
+++ b/tests/end_to_end/mesh_path_test.cc
@@ -166,6 +166,46 @@
   BOOST_TEST(log.find("2010 target-refused") != std::string::npos);
 }
 
+// Guards against an entry of another writer that ends the nodes that read it,
+// or keeps them from reading on.
+BOOST_AUTO_TEST_CASE(odd_entries_among_targets_keep_no_node_from_reading_on) {
+  const std::string nested(100'000, '[');
+  const std::vector<std::string> odd_values = {
+      "",
+      "\n",
+      nested,
+      R"({"a":)" + nested,
+      R"({"Address":"127.0.0.1:70000","Info":{"Service":"front","Zone":"east",
+          "Slots":9},"Status":{"State":"ready"}})",
+      R"({"Address":"127.0.0.1:80","born":1e400,"Info":{"Service":"front",
+          "Zone":"east","Slots":99999999999999999999999},
+          "Status":{"State":"ready"}})",
+      R"({"Address":"127.0.0.1:-1","Info":{"Slots":-5}})"};
+  for (std::size_t index = 0; index < odd_values.size(); ++index) {
+    this->fleet.PutKey("servers/odd-" + std::to_string(index),
+                       odd_values[index]);
+  }
+  // A node that starts now reads them in a list, the others in changes, from
+  // the store or from a relay.
+  this->west.node_process->Signal(SIGKILL);
+  this->fleet.RunNode(this->west);
+  BOOST_REQUIRE(WaitUntil([&] { return this->fleet.IsReady(this->west); }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  this->fleet.PublishTarget(this->east, true);
+  this->fleet.PublishConfiguration(2, MeshFleet::kSchoolKey);
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  const std::size_t before = this->fleet.GetRuns(this->east).size();
+  for (const MeshVm* vm : {&this->east, &this->west, &this->back}) {
+    for (int count = 0; count < 10; ++count) {
+      BOOST_TEST(
+          this->fleet.SendAttempt(*vm, this->MakeLookCall()).result_int() ==
+          200);
+    }
+    BOOST_TEST(!vm->node_process->WaitForExit(std::chrono::milliseconds(1)));
+  }
+  BOOST_TEST(this->fleet.GetRuns(this->east).size() == before);
+}
+
 BOOST_AUTO_TEST_CASE(leaving_target_gets_no_new_requests) {
   this->fleet.PublishTarget(this->east, true);
   std::this_thread::sleep_for(std::chrono::milliseconds(500));
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -2,11 +2,14 @@
 // invalid input is rejected with the location of the error.
 #include "platform/operator_documents.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include <rapidcheck.h>
+
 #include <boost/test/unit_test.hpp>
 
 #include "platform/attempt_messages.h"
@@ -241,6 +244,57 @@
   BOOST_TEST(!platform::ReadHealthResponse(response).has_value());
 }
 
+// Guards against one faulty item that keeps nodes from reading all others.
+BOOST_AUTO_TEST_CASE(faulty_item_does_not_fail_its_page) {
+  const std::string good = R"({"Key":"a","Value":"bm9kZS0x","Rev":4})";
+  for (const char* odd :
+       {R"({"Key":"b","Value":"","Rev":5})", R"({"Key":"b","Value":7,"Rev":5})",
+        R"({"Key":"b","Value":"?","Rev":5})", R"({"Key":"b","Rev":"x"})",
+        R"({"Key":"b","Value":"bm9kZS0x","Rev":1e300})",
+        R"({"Key":"b","Value":"bm9kZS0x","Rev":-1})"}) {
+    HttpResponse response(http::status::ok, 11);
+    response.body() = R"({"items":[)" + good + "," + odd + "," + good +
+                      R"(],"StoreRevision":6})";
+    std::string reason;
+    const std::optional<platform::StorePage> page =
+        platform::DecodePage(response, reason);
+    BOOST_REQUIRE(page.has_value());
+    BOOST_REQUIRE(page->items.size() == 3);
+    BOOST_TEST(page->items[0].value == "node-1");
+    // The key is there, so that the record isn't taken for a removed one.
+    BOOST_TEST(page->items[1].key == "b");
+    BOOST_TEST(!page->items[1].is_removed);
+    BOOST_TEST(page->items[2].value == "node-1");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(random_records_of_targets_are_read_or_refused) {
+  const std::string record =
+      R"({"Address":"10.0.0.9:80","born":5,"Info":{"Service":"s","Zone":"z",
+          "Slots":9},"Status":{"State":"ready","Seq":1,"ColdLeft":"0ms"}})";
+  const bool holds = rc::check([&record] {
+    std::string text = record;
+    const std::vector<std::string> odd_parts = {
+        "1e999", "-1", "99999999999999999999", "null", "[[[[", "{", "\"", "\0"};
+    for (int change = *rc::gen::inRange(1, 4); change > 0; --change) {
+      const std::size_t place = *rc::gen::inRange<std::size_t>(0, text.size());
+      const std::size_t length = *rc::gen::inRange<std::size_t>(0, 8);
+      text.replace(place, std::min(length, text.size() - place),
+                   *rc::gen::elementOf(odd_parts));
+    }
+    ValidationErrorList errors("servers/i-1");
+    const std::optional<MeshTarget> target =
+        platform::DecodeTarget("i-1", text, errors);
+    RC_ASSERT(target.has_value() == errors.empty());
+    if (target) {
+      RC_ASSERT(target->slots >= 1);
+      RC_ASSERT(target->address.port > 0);
+      RC_ASSERT(target->born >= 0);
+    }
+  });
+  BOOST_TEST(holds);
+}
+
 BOOST_AUTO_TEST_CASE(statements_of_a_target_are_read) {
   HttpResponse response;
   BOOST_TEST(!platform::ReadTargetNotice(response)->max_rate.has_value());
