Compute admission rates over a minimum time

A customer was refused everywhere (429) with a debt of over a million requests. Updates of a relay that are read together after a pause are microseconds apart; the rate between them is millions a second, and the next relay without a baseline is charged by it.

Rates are computed from all requests since 0.2 s or more before. The same cause was looked for elsewhere: DistributedRateLimiter computes no rate from updates less than 0.05 s apart.

--- a/src/coordination/relayed_counts.cc
+++ b/src/coordination/relayed_counts.cc
@@ -16,6 +16,9 @@
 constexpr double kCompleteFraction = 0.8;
 /// Time without an update after which a relay's counters are discarded.
 constexpr std::chrono::seconds kRelayRetention{60};
+/// Minimum time over which admission rates are computed. Updates that were held
+/// up arrive together, and the time between them says nothing.
+constexpr std::chrono::milliseconds kMinRateSpan{200};
 
 }  // namespace
 
@@ -79,8 +82,9 @@
     if (usage.admitted > before) {
       delta = static_cast<double>(usage.admitted - before);
     }
-    this->admission_rates[customer] = span > 0 ? delta / span : 0;
+    this->admitted_since[customer] += delta;
   }
+  this->UpdateAdmissionRates(now);
   for (auto& [name, other] : this->relays) {
     // A relay without a recent update may have counted more since, so its
     // counters are no baseline.
@@ -90,4 +94,18 @@
   return true;
 }
 
+void RelayedCounts::UpdateAdmissionRates(TimePoint now) {
+  const Duration span = now - this->rates_computed_at;
+  if (span < kMinRateSpan) {
+    return;
+  }
+  // Before the first update there is no time to which the counts belong.
+  const bool has_span = this->rates_computed_at != TimePoint();
+  for (const auto& [customer, admitted] : this->admitted_since) {
+    this->admission_rates[customer] = has_span ? admitted / ToSeconds(span) : 0;
+  }
+  this->admitted_since.clear();
+  this->rates_computed_at = now;
+}
+
 }  // namespace daisywinch
--- a/src/coordination/relayed_counts.h
+++ b/src/coordination/relayed_counts.h
@@ -55,12 +55,16 @@
   bool ShouldSelect(const std::string& relay,
                     std::uint32_t members,
                     TimePoint now) const;
+  void UpdateAdmissionRates(TimePoint now);
 
   std::map<std::string, Relay> relays;
   std::string selected;
   TimePoint selected_seen_at;
-  /// Requests per second between the last two updates, by customer.
+  /// Requests per second over the last updates, by customer.
   std::map<std::string, double> admission_rates;
+  /// Requests admitted since the rates were computed, by customer.
+  std::map<std::string, double> admitted_since;
+  TimePoint rates_computed_at;
 };
 
 }  // namespace daisywinch
