--- a/tests/end_to_end/fatal_request_test.cc
+++ b/tests/end_to_end/fatal_request_test.cc
@@ -137,9 +137,11 @@
 // ended by one of them.
 BOOST_AUTO_TEST_CASE(killed_targets_make_no_request_fatal) {
   std::atomic<int> refused = 0;
+  constexpr int kCallerCount = 6;
   std::vector<std::thread> callers;
+  callers.reserve(kCallerCount);
   const TimePoint end = BootTime::now() + std::chrono::seconds(8);
-  for (int caller = 0; caller < 6; ++caller) {
+  for (int caller = 0; caller < kCallerCount; ++caller) {
     callers.emplace_back([this, caller, end, &refused] {
       for (int count = 0; BootTime::now() < end; ++count) {
         // Half of the requests are the same for all callers.
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -253,8 +253,9 @@
         R"({"Key":"b","Value":"bm9kZS0x","Rev":1e300})",
         R"({"Key":"b","Value":"bm9kZS0x","Rev":-1})"}) {
     HttpResponse response(http::status::ok, 11);
-    response.body() = R"({"items":[)" + good + "," + odd + "," + good +
-                      R"(],"StoreRevision":6})";
+    response.body() = R"({"items":[)";
+    response.body().append(good).append(",").append(odd).append(",");
+    response.body().append(good).append(R"(],"StoreRevision":6})");
     std::string reason;
     const std::optional<platform::StorePage> page =
         platform::DecodePage(response, reason);
@@ -275,7 +276,8 @@
   const bool holds = rc::check([&record] {
     std::string text = record;
     const std::vector<std::string> odd_parts = {
-        "1e999", "-1", "99999999999999999999", "null", "[[[[", "{", "\"", "\0"};
+        "1e999", "-1", "99999999999999999999", "null", "[[[[",
+        "{",     "\"", std::string(1, '\0')};
     for (int change = *rc::gen::inRange(1, 4); change > 0; --change) {
       const std::size_t place = *rc::gen::inRange<std::size_t>(0, text.size());
       const std::size_t length = *rc::gen::inRange<std::size_t>(0, 8);
