Deliver an answer to a request that was judged meanwhile

Found by reading before the landing: an attempt that brought an answer was replaced by the earlier lost one if the request had been judged fatal in between, and a refusal by the gate after a lost and a refused attempt said 'not run'.

--- a/src/node/mesh_ingress.cc
+++ b/src/node/mesh_ingress.cc
@@ -268,6 +268,7 @@
   std::set<std::string> tried_targets;
   CallAttempts attempts(call.route->repeatable, call.route->max_attempts);
   protocol::CallReply reply = MakeRefusedReply(RefusalReason::kNoTarget);
+  std::optional<protocol::CallReply> lost_reply;
   while (true) {
     this->RefreshView();
     const std::shared_ptr<const MeshView> current_view = this->view;
@@ -280,19 +281,14 @@
     }
     tried_targets.insert(target->id);
     call.tried_targets += (call.tried_targets.empty() ? "" : ",") + target->id;
-    protocol::CallReply latest =
-        co_await this->SendOnce(call, *target, cancellation);
-    const bool is_fatal =
-        latest.reason() ==
-            static_cast<std::uint32_t>(RefusalReason::kFatalRequest) ||
-        this->fatal_requests.IsFatal(call.message.digest(), this->clock.Now());
-    if (is_fatal && reply.outcome() == protocol::OUTCOME_UNKNOWN) {
+    reply = co_await this->SendOnce(call, *target, cancellation);
+    const bool has_answer = reply.outcome() == protocol::OUTCOME_ANSWERED;
+    if (!has_answer && this->IsFatal(call, reply)) {
       // An earlier attempt may have run.
-      co_return reply;
+      co_return lost_reply.value_or(reply);
     }
-    reply = std::move(latest);
-    if (is_fatal) {
-      co_return reply;
+    if (reply.outcome() == protocol::OUTCOME_UNKNOWN) {
+      lost_reply = reply;
     }
     if (cancellation->IsCancelled() || this->clock.Now() >= call.deadline) {
       co_return reply;
@@ -304,6 +300,13 @@
   }
 }
 
+bool MeshIngress::IsFatal(const Call& call,
+                          const protocol::CallReply& reply) const {
+  return reply.reason() ==
+             static_cast<std::uint32_t>(RefusalReason::kFatalRequest) ||
+         this->fatal_requests.IsFatal(call.message.digest(), this->clock.Now());
+}
+
 Awaitable<protocol::CallReply> MeshIngress::SendOnce(
     Call& call,
     const MeshTarget& target,
--- a/src/node/mesh_ingress.h
+++ b/src/node/mesh_ingress.h
@@ -105,6 +105,9 @@
   Awaitable<protocol::CallReply> SendWithRetries(
       Call& call,
       std::shared_ptr<Cancellation> cancellation);
+  /// Whether the call is not to be sent again, as it ends the targets that run
+  /// it. The gate that sent the reply may have learned that first.
+  bool IsFatal(const Call& call, const protocol::CallReply& reply) const;
   Awaitable<protocol::CallReply> SendOnce(
       Call& call,
       const MeshTarget& target,
