Hold cancellations in scopes, and log and count their causes

What callers saw: a request of a caller that had left could hold what others needed, and nothing in the logs said that a caller had left.

Cause: Cancellation kept one action at a time, ran none that was set after the cancellation, and only woke a timer. Between the wake-up and the coroutine's run StartQueuedCalls() could still start the call: the slot was taken, nothing was sent, and the end "not sent" made the state of a sound target unknown. A cancellation while the connection to the target was being set up ended the same way. CallClient::Call() heard nothing while it connected (0.5 s) or checked the peer (0.25 s). On the handle interface a cancelled call counted as a failure of the VM that it was sent to.

Change: a CancellationScope runs its action on cancellation, or at once if it is too late; scopes don't replace each other. Queued calls leave the queue at the moment of the cancellation; a slot that was given before is handed back; TargetExchange says kWithdrawn where nothing was sent; a cancelled call counts against no VM. Requests that were cancelled get the reasons 208 and 306 of their own.

FailPendingCalls() now fails the calls of its own connection only, and a call of another connection no longer counts as that connection's silence: by reading.

--- a/src/node/gate.cc
+++ b/src/node/gate.cc
@@ -178,6 +178,9 @@
 Awaitable<RefusalReason> Gate::WaitForSlot(const GateCall& call) {
   const TimePoint now = this->clock.Now();
   this->level.RecordOffered(call.context.request_class, now);
+  if (call.cancellation->IsCancelled()) {
+    co_return RefusalReason::kCancelledUnsent;
+  }
   if (now >= call.context.deadline) {
     co_return RefusalReason::kDeadlineTooShort;
   }
@@ -199,18 +202,26 @@
   for (const std::uint64_t shed_id : shed) {
     this->EndWait(shed_id, RefusalReason::kShedByGate);
   }
-  call.cancellation->SetAction([waiter] { waiter->wake_up.cancel(); });
+  const CancellationScope scope(call.cancellation, [this, id] {
+    this->queue.Remove(id);
+    this->EndWait(id, RefusalReason::kCancelledUnsent);
+  });
   waiter->wake_up.expires_at(call.context.deadline);
   ErrorCode ignored;
   if (!waiter->result) {
     co_await waiter->wake_up.async_wait(Await(ignored));
   }
-  call.cancellation->ClearAction();
   this->waiters.erase(id);
   if (!waiter->result) {
     this->queue.Remove(id);
     co_return RefusalReason::kDeadlineTooShort;
   }
+  if (*waiter->result == RefusalReason::kNone &&
+      call.cancellation->IsCancelled()) {
+    --this->in_flight;
+    this->StartQueuedCalls();
+    co_return RefusalReason::kCancelledUnsent;
+  }
   if (*waiter->result == RefusalReason::kShedByGate) {
     this->level.RecordShed(call.context.request_class, this->clock.Now());
   }
@@ -236,7 +247,7 @@
 
 void Gate::EndWait(std::uint64_t id, RefusalReason result) {
   const auto found = this->waiters.find(id);
-  if (found != this->waiters.end()) {
+  if (found != this->waiters.end() && !found->second->result) {
     found->second->result = result;
     found->second->wake_up.cancel();
   }
@@ -291,6 +302,7 @@
     case TargetExchange::End::kDeadlinePassed:
       this->limit.RecordTimeout(now);
       break;
+    case TargetExchange::End::kWithdrawn:
     case TargetExchange::End::kCancelled:
     case TargetExchange::End::kResponseTooLarge:
       break;
--- a/src/node/gate_router.cc
+++ b/src/node/gate_router.cc
@@ -47,21 +47,26 @@
     protocol::CallRequest request,
     TimePoint deadline,
     std::shared_ptr<Cancellation> cancellation) {
+  if (cancellation->IsCancelled()) {
+    co_return MakeRefusedReply(RefusalReason::kCancelledUnsent);
+  }
   const Duration remaining = deadline - this->clock.Now();
   request.set_remaining_microseconds(std::max<std::int64_t>(
       0, std::chrono::duration_cast<std::chrono::microseconds>(remaining)
              .count()));
   const std::shared_ptr<Cancellation> gate_cancellation =
       std::make_shared<Cancellation>();
-  cancellation->SetAction([this, gate_cancellation] {
-    asio::post(this->gate_context,
-               [gate_cancellation] { gate_cancellation->Cancel(); });
-  });
+  const CancellationScope scope(
+      cancellation, [this, cancellation, gate_cancellation] {
+        asio::post(this->gate_context,
+                   [gate_cancellation, cause = cancellation->Cause()] {
+                     gate_cancellation->Cancel(cause);
+                   });
+      });
   protocol::CallReply reply = co_await asio::co_spawn(
       this->gate_context,
       this->local_gate(std::move(request), gate_cancellation),
       asio::use_awaitable);
-  cancellation->ClearAction();
   co_return reply;
 }
 
--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -109,7 +109,9 @@
     std::shared_ptr<Cancellation> cancellation) {
   const std::uint64_t nested_call =
       this->handles.AddNestedCall(call.parent_handle, [this, cancellation] {
-        asio::post(this->context, [cancellation] { cancellation->Cancel(); });
+        asio::post(this->context, [cancellation] {
+          cancellation->Cancel(CancellationCause::kParentEnded);
+        });
       });
   if (nested_call == 0) {
     // The parent request has ended since its handle was looked up.
@@ -286,7 +288,9 @@
   protocol::CallReply reply = co_await this->sender.Send(
       target, std::move(message), call.context.deadline, cancellation);
   this->balancer.CallEnded(target.name);
-  this->RecordReply(call, target.name, reply);
+  if (!cancellation->IsCancelled()) {
+    this->RecordReply(call, target.name, reply);
+  }
   const bool replied_by_gate = reply.has_load();
   if (!replied_by_gate && reply.outcome() == protocol::OUTCOME_NOT_RUN) {
     reply.set_retries_left(call.retries_left);
--- a/src/node/mesh_gate.cc
+++ b/src/node/mesh_gate.cc
@@ -61,8 +61,15 @@
   ++this->calls_in_progress;
   const TimePoint started = this->clock.Now();
   const std::string attempt_id = request.attempt_id();
-  protocol::CallReply reply =
-      co_await this->AdmitAndRun(std::move(request), std::move(cancellation));
+  CallState state = CallState::kQueued;
+  protocol::CallReply reply;
+  {
+    const CancellationScope scope(cancellation, [&, this] {
+      this->RecordCancellation(attempt_id, cancellation->Cause(), state,
+                               this->clock.Now() - started);
+    });
+    reply = co_await this->AdmitAndRun(std::move(request), cancellation, state);
+  }
   --this->calls_in_progress;
   if (reply.outcome() != protocol::OUTCOME_ANSWERED) {
     this->LogFailedCall(attempt_id, reply, this->clock.Now() - started);
@@ -142,7 +149,8 @@
 
 Awaitable<protocol::CallReply> MeshGate::AdmitAndRun(
     protocol::CallRequest request,
-    std::shared_ptr<Cancellation> cancellation) {
+    std::shared_ptr<Cancellation> cancellation,
+    CallState& state) {
   this->RefreshView();
   const TimePoint deadline =
       this->clock.Now() +
@@ -157,6 +165,7 @@
   if (reason != RefusalReason::kNone) {
     co_return MakeRefusedReply(reason);
   }
+  state = CallState::kRunning;
   co_return co_await this->Run(std::move(request), deadline,
                                std::move(cancellation));
 }
@@ -166,7 +175,10 @@
     TimePoint deadline,
     std::shared_ptr<Cancellation> cancellation) {
   const TimePoint now = this->clock.Now();
-  if (cancellation->IsCancelled() || now >= deadline) {
+  if (cancellation->IsCancelled()) {
+    co_return RefusalReason::kCancelledUnsent;
+  }
+  if (now >= deadline) {
     co_return RefusalReason::kDeadlineTooShort;
   }
   this->UpdateAdmission(now);
@@ -188,19 +200,27 @@
   if (shed) {
     this->EndWait(*shed, RefusalReason::kShedByGate);
   }
-  cancellation->SetAction([waiter] { waiter->wake_up.cancel(); });
+  const CancellationScope scope(cancellation, [this, id = waiting.id] {
+    this->admission.Remove(id);
+    this->EndWait(id, RefusalReason::kCancelledUnsent);
+  });
   waiter->wake_up.expires_at(this->admission.StartDeadline(waiting, now));
   this->StartQueuedCalls();
   ErrorCode ignored;
   if (!waiter->result) {
     co_await waiter->wake_up.async_wait(Await(ignored));
   }
-  cancellation->ClearAction();
   this->waiters.erase(waiting.id);
   if (!waiter->result) {
     this->admission.Remove(waiting.id);
     co_return RefusalReason::kShedByGate;
   }
+  if (*waiter->result == RefusalReason::kNone && cancellation->IsCancelled()) {
+    // The slot became free before the cancellation.
+    this->admission.RecordEnd(std::nullopt);
+    this->StartQueuedCalls();
+    co_return RefusalReason::kCancelledUnsent;
+  }
   co_return *waiter->result;
 }
 
@@ -244,7 +264,7 @@
 
 void MeshGate::EndWait(std::uint64_t id, RefusalReason result) {
   const auto found = this->waiters.find(id);
-  if (found != this->waiters.end()) {
+  if (found != this->waiters.end() && !found->second->result) {
     found->second->result = result;
     found->second->wake_up.cancel();
   }
@@ -294,10 +314,14 @@
     case TargetExchange::End::kNotSent:
       this->cold_state.RecordPossibleRestart(now);
       return MakeRefusedReply(RefusalReason::kTargetUnreachable);
+    case TargetExchange::End::kWithdrawn:
+      return MakeRefusedReply(RefusalReason::kCancelledUnsent);
     case TargetExchange::End::kDeadlinePassed:
-    case TargetExchange::End::kCancelled:
       reply = MakeRefusedReply(RefusalReason::kDeadlinePassed);
       break;
+    case TargetExchange::End::kCancelled:
+      reply = MakeRefusedReply(RefusalReason::kCancelled);
+      break;
     case TargetExchange::End::kResponseLost:
       this->cold_state.RecordLostResponse(now);
       this->crash_detector.RecordLostResponse(request.digest(), sent_at, now);
@@ -463,6 +487,26 @@
   }
 }
 
+void MeshGate::RecordCancellation(const std::string& attempt_id,
+                                  CancellationCause cause,
+                                  CallState state,
+                                  Duration waited) {
+  const std::string_view state_name =
+      state == CallState::kQueued ? "queued" : "running";
+  ++this->cancelled_calls[{ToString(cause), state_name}];
+  const std::optional<std::uint64_t> left_out =
+      this->log_limiter.TryAcquire(true, this->clock.Now());
+  if (!left_out) {
+    return;
+  }
+  LogEvent(EventId::kCallCancelled, {{"request", attempt_id},
+                                     {"target", this->LocalTargetId()},
+                                     {"cause", ToString(cause)},
+                                     {"state", state_name},
+                                     {"microseconds", ToMicroseconds(waited)},
+                                     {"left_out", *left_out}});
+}
+
 void MeshGate::LogFailedCall(const std::string& attempt_id,
                              const protocol::CallReply& reply,
                              Duration waited) {
@@ -510,6 +554,16 @@
       "leaves.\n# TYPE daisywinch_target_leaving gauge\n"
       "daisywinch_target_leaving ";
   text += this->notices.IsLeaving() ? "1\n" : "0\n";
+  text +=
+      "# HELP daisywinch_cancelled_calls_total Calls that were cancelled at "
+      "the "
+      "gate, by cause and state.\n"
+      "# TYPE daisywinch_cancelled_calls_total counter\n";
+  for (const auto& [labels, count] : this->cancelled_calls) {
+    text += "daisywinch_cancelled_calls_total{cause=\"" +
+            std::string(labels.first) + "\",state=\"" +
+            std::string(labels.second) + "\"} " + std::to_string(count) + "\n";
+  }
   if (this->notices.MaxRate()) {
     text +=
         "# HELP daisywinch_target_max_rate Requests per second that the target "
--- a/src/node/mesh_gate.h
+++ b/src/node/mesh_gate.h
@@ -3,10 +3,13 @@
 
 #include <atomic>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <utility>
 
 #include <boost/json.hpp>
 
@@ -64,7 +67,8 @@
   double UsableSlots();
   /// State of the gate for the operators' status page.
   boost::json::object Status() const;
-  /// What the target states about itself, in the Prometheus text format.
+  /// What the target states about itself, and the cancelled calls, in the
+  /// Prometheus text format.
   std::string ToPrometheusText() const;
 
  private:
@@ -77,6 +81,9 @@
     std::optional<RefusalReason> result;
   };
 
+  /// Progress of an admitted call.
+  enum class CallState { kQueued, kRunning };
+
   void RefreshView();
   /// Applies the state of the target to the admission.
   void UpdateAdmission(TimePoint now);
@@ -85,9 +92,11 @@
   bool IsAwaitingFirstResponse(TimePoint now) const;
   /// Reason why the target gets no new calls, or kNone.
   RefusalReason ReasonToRefuse() const;
+  /// Keeps `state` up to date.
   Awaitable<protocol::CallReply> AdmitAndRun(
       protocol::CallRequest request,
-      std::shared_ptr<Cancellation> cancellation);
+      std::shared_ptr<Cancellation> cancellation,
+      CallState& state);
   /// Waits until the call may start; returns kNone and occupies a slot, or
   /// returns the reason for a refusal.
   Awaitable<RefusalReason> WaitForSlot(
@@ -121,6 +130,10 @@
   void LogColdStateChange();
   /// Logs a change of what the target states.
   void LogNoticeChange(TimePoint now);
+  void RecordCancellation(const std::string& attempt_id,
+                          CancellationCause cause,
+                          CallState state,
+                          Duration waited);
   /// Logs a call that was refused or failed, and the state that decided it.
   void LogFailedCall(const std::string& attempt_id,
                      const protocol::CallReply& reply,
@@ -141,6 +154,9 @@
   /// Runs between health checks; cancelled for a check at once.
   Timer health_timer;
   LogRateLimiter log_limiter;
+  /// Counts by cause and state.
+  std::map<std::pair<std::string_view, std::string_view>, std::uint64_t>
+      cancelled_calls;
   ColdStateTracker cold_state;
   TargetNotices notices;
   CrashDetector crash_detector;
--- a/src/node/mesh_ingress.cc
+++ b/src/node/mesh_ingress.cc
@@ -67,7 +67,8 @@
       (!reply.has_load() && reply.outcome() == protocol::OUTCOME_UNKNOWN)) {
     return GateResult::kUnreachable;
   }
-  return reply.reached_target() && reason != RefusalReason::kDeadlinePassed
+  return reply.reached_target() && reason != RefusalReason::kDeadlinePassed &&
+                 reason != RefusalReason::kCancelled
              ? GateResult::kFailed
              : GateResult::kRefused;
 }
@@ -118,8 +119,13 @@
     this->LogRequestEnd(call, MakeRefusedReply(reason));
     co_return this->MakeRefusal(call, reason, true);
   }
-  protocol::CallReply reply =
-      co_await this->SendWithRetries(call, std::move(cancellation));
+  protocol::CallReply reply;
+  {
+    const CancellationScope scope(cancellation, [this, &call, &cancellation] {
+      this->LogCancellation(call, cancellation->Cause());
+    });
+    reply = co_await this->SendWithRetries(call, cancellation);
+  }
   this->RecordOutcome(call, reply);
   const std::uint32_t reason_code =
       reply.outcome() == protocol::OUTCOME_ANSWERED ? 0 : reply.reason();
@@ -506,6 +512,21 @@
        {"left_out", *left_out}});
 }
 
+void MeshIngress::LogCancellation(const Call& call, CancellationCause cause) {
+  const TimePoint now = this->clock.Now();
+  const std::optional<std::uint64_t> left_out =
+      this->log_limiter.TryAcquire(true, now);
+  if (!left_out) {
+    return;
+  }
+  LogEvent(EventId::kRequestCancelled,
+           {{"request", call.attempt_id},
+            {"cause", ToString(cause)},
+            {"targets", call.tried_targets},
+            {"microseconds", ToMicroseconds(now - call.started)},
+            {"left_out", *left_out}});
+}
+
 void MeshIngress::LogOverRate(const Call& call) {
   TimePoint& logged_at = this->over_rate_logged_at[call.customer];
   if (call.started - logged_at < kOverRateLogInterval) {
--- a/src/node/mesh_ingress.h
+++ b/src/node/mesh_ingress.h
@@ -112,6 +112,7 @@
       Call& call,
       const MeshTarget& target,
       std::shared_ptr<Cancellation> cancellation);
+  void LogCancellation(const Call& call, CancellationCause cause);
   void LogOverRate(const Call& call);
   /// Logs the requests that are refused since the last call.
   void LogVerdicts(TimePoint now);
--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -209,15 +209,14 @@
 
 Awaitable<HttpResponse> MeshNode::HandleOperatorRequest(HttpRequest request) {
   if (request.target() == "/metrics") {
-    const auto collect = [](const MeshIngress& ingress,
-                            const MeshGate& gate) -> Awaitable<std::string> {
-      co_return ingress.Metrics().ToPrometheusText() + gate.ToPrometheusText();
+    const auto collect = [](const MeshNode& node) -> Awaitable<std::string> {
+      co_return node.ingress.Metrics().ToPrometheusText() +
+          node.gate.ToPrometheusText() + node.traffic_delay.ToPrometheusText();
     };
-    co_return MakeTextResponse(
-        http::status::ok,
-        co_await asio::co_spawn(this->traffic_context,
-                                collect(this->ingress, this->gate),
-                                asio::use_awaitable));
+    std::string text = co_await asio::co_spawn(
+        this->traffic_context, collect(*this), asio::use_awaitable);
+    text += this->control_delay.ToPrometheusText();
+    co_return MakeTextResponse(http::status::ok, std::move(text));
   }
   if (request.target() == "/status") {
     const auto collect =
@@ -246,10 +245,16 @@
 
 Awaitable<> MeshNode::SendUpdates() {
   while (true) {
-    Timer timer(this->control_context, kUpdateCheckInterval);
+    const TimePoint due = this->clock.Now() + kUpdateCheckInterval;
+    Timer timer(this->control_context, due);
     ErrorCode ignored;
     co_await timer.async_wait(Await(ignored));
-    asio::post(this->traffic_context, [this] { this->SendLocalUpdateIfDue(); });
+    const TimePoint now = this->clock.Now();
+    this->control_delay.Record(now - due);
+    asio::post(this->traffic_context, [this, now] {
+      this->traffic_delay.Record(this->clock.Now() - now);
+      this->SendLocalUpdateIfDue();
+    });
     this->update_exchange.RelayUpdates(this->draining);
     this->CheckIsolation();
   }
--- a/src/node/mesh_node.h
+++ b/src/node/mesh_node.h
@@ -14,6 +14,7 @@
 #include "node/settings_watcher.h"
 #include "node/store_watcher.h"
 #include "node/update_exchange.h"
+#include "state/loop_delay.h"
 #include "state/mesh_settings.h"
 #include "state/mesh_view.h"
 #include "transport/call_server.h"
@@ -80,6 +81,8 @@
   UpdateExchange update_exchange;
   /// This node reaches too few others; used by the control thread only.
   bool is_isolated = false;
+  LoopDelay control_delay{"control"};
+  LoopDelay traffic_delay{"traffic"};
   /// Time of this node's last update; used by the traffic thread only.
   TimePoint update_sent_at;
   double sent_slots = 0;
--- a/src/node/target_messages.cc
+++ b/src/node/target_messages.cc
@@ -68,11 +68,14 @@
       return MakeAnsweredReply(std::move(exchange.response));
     case TargetExchange::End::kNotSent:
       return MakeRefusedReply(RefusalReason::kTargetUnreachable);
+    case TargetExchange::End::kWithdrawn:
+      return MakeRefusedReply(RefusalReason::kCancelledUnsent);
     case TargetExchange::End::kResponseLost:
       return MakeRefusedReply(RefusalReason::kResponseLost);
     case TargetExchange::End::kDeadlinePassed:
-    case TargetExchange::End::kCancelled:
       return MakeRefusedReply(RefusalReason::kDeadlinePassed);
+    case TargetExchange::End::kCancelled:
+      return MakeRefusedReply(RefusalReason::kCancelled);
     case TargetExchange::End::kResponseTooLarge:
       return MakeRefusedReply(RefusalReason::kResponseTooLarge);
   }
--- a/src/state/event_log.cc
+++ b/src/state/event_log.cc
@@ -67,6 +67,9 @@
                      "settings-need-restart",
                      "Fields of the settings file differ from those in force "
                      "and take effect only after a restart."},
+    EventDescription{EventId::kLoopDelayed, kWarning, "loop-delayed",
+                     "An event loop of the node handled nothing for a while; "
+                     "what arrived meanwhile was read late."},
     EventDescription{EventId::kConfigurationInForce, kInformation,
                      "configuration-in-force",
                      "A new configuration was applied."},
@@ -169,6 +172,16 @@
     EventDescription{EventId::kCallEnded, kInformation, "call-ended",
                      "A gate refused a call or got no successful response to "
                      "it from its target."},
+    EventDescription{EventId::kRequestCancelled, kInformation,
+                     "request-cancelled",
+                     "The ingress learned that nobody waits for the response "
+                     "to a request any more, for the named cause; targets says "
+                     "to which ones it had been sent."},
+    EventDescription{EventId::kCallCancelled, kInformation, "call-cancelled",
+                     "The gate learned that nobody waits for the reply to a "
+                     "call any more; state says whether the call waited for a "
+                     "slot or its target was running it. The connection to the "
+                     "target is closed at once."},
 };
 
 /// Lines that the queue holds before further lines are dropped.
--- a/src/state/event_log.h
+++ b/src/state/event_log.h
@@ -25,6 +25,7 @@
   kSettingsReloaded = 1009,
   kSettingsRefused = 1010,
   kSettingsNeedRestart = 1011,
+  kLoopDelayed = 1012,
   kConfigurationInForce = 2001,
   kConfigurationRefused = 2002,
   kVmListInForce = 2003,
@@ -56,6 +57,8 @@
   kRequestJudgedFatal = 5003,
   kRequestEnded = 6001,
   kCallEnded = 6002,
+  kRequestCancelled = 6003,
+  kCallCancelled = 6004,
 };
 
 /// The number, severity, name and meaning of an event.
--- a/src/transport/call_client.cc
+++ b/src/transport/call_client.cc
@@ -50,18 +50,22 @@
     TimePoint deadline,
     std::shared_ptr<Cancellation> cancellation) {
   const std::shared_ptr<CallClient> self = this->shared_from_this();
-  const bool connected = co_await this->EnsureConnected(deadline);
+  const bool connected = co_await this->EnsureConnected(deadline, cancellation);
+  if (cancellation->IsCancelled()) {
+    co_return MakeRefusedReply(RefusalReason::kCancelledUnsent);
+  }
   if (!connected) {
     co_return MakeRefusedReply(RefusalReason::kTargetUnreachable);
   }
   const std::shared_ptr<FrameStream> connection = this->stream;
-  const bool is_alive = co_await this->CheckLiveness(connection, deadline);
+  const bool is_alive =
+      co_await this->CheckLiveness(connection, deadline, cancellation);
+  if (cancellation->IsCancelled()) {
+    co_return MakeRefusedReply(RefusalReason::kCancelledUnsent);
+  }
   if (!is_alive) {
     co_return MakeRefusedReply(RefusalReason::kTargetUnreachable);
   }
-  if (cancellation->IsCancelled()) {
-    co_return MakeRefusedReply(RefusalReason::kDeadlineTooShort);
-  }
   const std::uint64_t call_id = this->next_call_id++;
   request.set_call_id(call_id);
   const Duration remaining = deadline - this->clock.Now();
@@ -71,6 +75,7 @@
   const std::shared_ptr<PendingCall> call =
       std::make_shared<PendingCall>(this->context);
   this->pending[call_id] = call;
+  call->connection = connection;
   call->started = this->clock.Now();
   protocol::CallFrame frame;
   *frame.mutable_request() = std::move(request);
@@ -80,29 +85,31 @@
   });
 
   call->completion_timer.expires_at(deadline);
-  cancellation->SetAction([call] { call->completion_timer.cancel(); });
-  ErrorCode ignored;
   if (!call->done) {
-    co_await call->completion_timer.async_wait(Await(ignored));
+    co_await WaitUnlessCancelled(call->completion_timer, cancellation);
   }
-  cancellation->ClearAction();
   this->pending.erase(call_id);
   if (call->done) {
     co_return std::move(call->reply);
   }
+  const bool was_cancelled = cancellation->IsCancelled();
   if (!call->sent) {
     call->withdrawn = true;
-    co_return MakeRefusedReply(RefusalReason::kDeadlineTooShort);
+    co_return MakeRefusedReply(was_cancelled
+                                   ? RefusalReason::kCancelledUnsent
+                                   : RefusalReason::kDeadlineTooShort);
   }
   protocol::CallFrame cancel;
   cancel.mutable_cancel()->set_call_id(call_id);
   connection->Send(cancel);
-  co_return MakeRefusedReply(RefusalReason::kDeadlinePassed);
+  co_return MakeRefusedReply(was_cancelled ? RefusalReason::kCancelled
+                                           : RefusalReason::kDeadlinePassed);
 }
 
 Awaitable<bool> CallClient::CheckLiveness(
     std::shared_ptr<FrameStream> connection,
-    TimePoint deadline) {
+    TimePoint deadline,
+    std::shared_ptr<Cancellation> cancellation) {
   const TimePoint started = this->clock.Now();
   if (started - connection->LastReceived() <= kLivenessWindow) {
     co_return !connection->IsClosed();
@@ -113,12 +120,11 @@
   const std::shared_ptr<Timer> waiter = std::make_shared<Timer>(
       this->context, std::min<TimePoint>(deadline, started + kLivenessTimeout));
   this->liveness_waiters.push_back(waiter);
-  ErrorCode ignored;
-  co_await waiter->async_wait(Await(ignored));
+  co_await WaitUnlessCancelled(*waiter, cancellation);
   const bool is_alive = connection->LastReceived() >= started;
   if (!is_alive) {
     std::erase(this->liveness_waiters, waiter);
-    if (this->pending.empty()) {
+    if (this->pending.empty() && !cancellation->IsCancelled()) {
       connection->Close();
     }
   }
@@ -135,7 +141,9 @@
     const TimePoint now = this->clock.Now();
     TimePoint oldest_start = now;
     for (const auto& [call_id, call] : self->pending) {
-      oldest_start = std::min(oldest_start, call->started);
+      if (call->connection == connection) {
+        oldest_start = std::min(oldest_start, call->started);
+      }
     }
     const Duration silence =
         now - std::max(oldest_start, connection->LastReceived());
@@ -165,7 +173,9 @@
   }
 }
 
-Awaitable<bool> CallClient::EnsureConnected(TimePoint deadline) {
+Awaitable<bool> CallClient::EnsureConnected(
+    TimePoint deadline,
+    std::shared_ptr<Cancellation> cancellation) {
   if (this->stream && !this->stream->IsClosed()) {
     co_return true;
   }
@@ -177,8 +187,7 @@
   const std::shared_ptr<Timer> waiter =
       std::make_shared<Timer>(this->context, deadline);
   this->connection_waiters.push_back(waiter);
-  ErrorCode ignored;
-  co_await waiter->async_wait(Await(ignored));
+  co_await WaitUnlessCancelled(*waiter, std::move(cancellation));
   co_return this->stream && !this->stream->IsClosed();
 }
 
@@ -216,8 +225,8 @@
   }
   if (self->stream == connection) {
     self->stream.reset();
-    self->FailPendingCalls(reason);
   }
+  self->FailPendingCalls(connection, reason);
 }
 
 void CallClient::HandleReply(protocol::CallReply reply) {
@@ -232,9 +241,11 @@
   call->completion_timer.cancel();
 }
 
-void CallClient::FailPendingCalls(RefusalReason reason) {
+void CallClient::FailPendingCalls(
+    const std::shared_ptr<FrameStream>& connection,
+    RefusalReason reason) {
   for (auto& [call_id, call] : this->pending) {
-    if (call->done) {
+    if (call->done || call->connection != connection) {
       continue;
     }
     call->reply = MakeRefusedReply(
--- a/src/transport/call_client.h
+++ b/src/transport/call_client.h
@@ -53,6 +53,8 @@
         : completion_timer(context) {}
 
     Timer completion_timer;
+    /// The connection on which the call is sent.
+    std::shared_ptr<FrameStream> connection;
     TimePoint started;
     bool sent = false;
     /// The call ended before its frame was written; the frame must not be
@@ -62,13 +64,15 @@
     protocol::CallReply reply;
   };
 
-  /// Connects unless a connection is open. Returns false if the attempt fails
-  /// or the deadline passes first.
-  Awaitable<bool> EnsureConnected(TimePoint deadline);
+  /// Connects unless a connection is open. Returns false if the attempt fails,
+  /// or if the deadline passes or the call is cancelled first.
+  Awaitable<bool> EnsureConnected(TimePoint deadline,
+                                  std::shared_ptr<Cancellation> cancellation);
   /// Whether the peer is alive: it sent bytes within the liveness window or
-  /// responds to a ping.
+  /// responds to a ping. False if the call is cancelled first.
   Awaitable<bool> CheckLiveness(std::shared_ptr<FrameStream> connection,
-                                TimePoint deadline);
+                                TimePoint deadline,
+                                std::shared_ptr<Cancellation> cancellation);
   /// Checks the connection while calls are pending: pings the peer when nothing
   /// has been received for a while, and closes the connection if the peer
   /// remains silent.
@@ -80,8 +84,10 @@
   Awaitable<> ReadReplies(std::shared_ptr<CallClient> self,
                           std::shared_ptr<FrameStream> connection);
   void HandleReply(protocol::CallReply reply);
-  /// Ends the calls that were sent with `reason`, and the others as not run.
-  void FailPendingCalls(RefusalReason reason);
+  /// Ends the calls on a connection that has ended: those that were sent with
+  /// `reason`, and the others as not run.
+  void FailPendingCalls(const std::shared_ptr<FrameStream>& connection,
+                        RefusalReason reason);
 
   asio::io_context& context;
   asio::ssl::context* tls;
--- a/src/transport/call_server.cc
+++ b/src/transport/call_server.cc
@@ -65,7 +65,7 @@
     for (const std::shared_ptr<Connection>& connection : this->connections) {
       for (const auto& [call_id, cancellation] : connection->calls) {
         if (now >= deadline - kCancellationMargin) {
-          cancellation->Cancel();
+          cancellation->Cancel(CancellationCause::kShutdown);
         }
       }
     }
@@ -138,7 +138,7 @@
     }
   }
   for (const auto& [call_id, cancellation] : connection->calls) {
-    cancellation->Cancel();
+    cancellation->Cancel(CancellationCause::kPeerLost);
   }
   this->connections.erase(position);
 }
@@ -164,7 +164,7 @@
   } else if (frame.has_cancel()) {
     const auto call = connection->calls.find(frame.cancel().call_id());
     if (call != connection->calls.end()) {
-      call->second->Cancel();
+      call->second->Cancel(CancellationCause::kCancelledByPeer);
     }
   }
 }
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -111,7 +111,7 @@
       } else if (connection->cancellation &&
                  !connection->cancellation->IsCancelled() &&
                  now >= deadline - kCancellationMargin) {
-        connection->cancellation->Cancel();
+        connection->cancellation->Cancel(CancellationCause::kShutdown);
         ++cancelled_count;
       }
     }
@@ -277,7 +277,7 @@
                                MSG_PEEK | MSG_DONTWAIT);
   const bool has_data = count > 0 || (count < 0 && errno == EAGAIN);
   if (!has_data) {
-    cancellation->Cancel();
+    cancellation->Cancel(CancellationCause::kCallerLeft);
   }
 }
 
--- a/src/transport/target_client.cc
+++ b/src/transport/target_client.cc
@@ -76,7 +76,8 @@
     connection = std::make_shared<Connection>(this->context);
     ++this->connection_count;
   }
-  cancellation->SetAction([connection] { connection->stream.close(); });
+  const CancellationScope scope(cancellation,
+                                [connection] { connection->stream.close(); });
   // tcp_stream uses the steady clock instead of BootTime, so the deadline is
   // passed as a duration.
   connection->stream.expires_after(deadline - BootTime::now());
@@ -87,12 +88,13 @@
     exchange.connection_refused = error == asio::error::connection_refused;
     exchange.connection_dropped |= exchange.connection_refused;
   }
-  if (!error && !cancellation->IsCancelled()) {
+  if (cancellation->IsCancelled()) {
+    exchange.end = End::kWithdrawn;
+  } else if (!error) {
     connection->stream.socket().set_option(Tcp::no_delay(true), error);
     co_await this->Transfer(connection, cancellation, std::move(request),
                             exchange);
   }
-  cancellation->ClearAction();
   // A connection with bytes after the response is not reused, because they
   // belong to no request.
   const bool reusable = exchange.end == End::kAnswered &&
--- a/src/transport/target_client.h
+++ b/src/transport/target_client.h
@@ -20,6 +20,8 @@
     kAnswered,
     /// No byte of the request was handed to the operating system.
     kNotSent,
+    /// The same, because the request was cancelled.
+    kWithdrawn,
     /// The connection ended before the complete response was received.
     kResponseLost,
     kDeadlinePassed,
--- a/tests/standins/attempt_target.cc
+++ b/tests/standins/attempt_target.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "standins/query.h"
-#include "transport/http_fetch.h"
 
 namespace daisywinch::test {
 
@@ -21,7 +20,10 @@
 constexpr char kServerLimit[] = "Server-Limit";
 constexpr char kServerLeaving[] = "Server-Leaving";
 constexpr char kNestedCallHeader[] = "X-Onward";
+constexpr char kNestedHostHeader[] = "X-Onward-Host";
 constexpr char kFatalPath[] = "/fatal";
+constexpr std::uint64_t kNestedBodyLimit = std::uint64_t{16} * 1024 * 1024;
+constexpr std::chrono::seconds kNestedCallTimeout{5};
 
 }  // namespace
 
@@ -33,6 +35,7 @@
       address(address),
       node_address(node_address),
       id(std::move(id)),
+      nested_client(context, node_address, kNestedBodyLimit),
       server(context,
              HttpLimits(),
              [this](HttpRequest request,
@@ -92,10 +95,7 @@
   const std::shared_ptr<Timer> work_timer = std::make_shared<Timer>(
       this->context,
       this->never_responds ? std::chrono::seconds(60) : this->service_time);
-  cancellation->SetAction([work_timer] { work_timer->cancel(); });
-  ErrorCode ignored;
-  co_await work_timer->async_wait(Await(ignored));
-  cancellation->ClearAction();
+  co_await WaitUnlessCancelled(*work_timer, cancellation);
   run->is_cancelled = cancellation->IsCancelled();
   if (run->path.find(kFatalPath) != std::string::npos) {
     std::_Exit(EXIT_FAILURE);
@@ -103,8 +103,11 @@
   bool has_nested_call_succeeded = true;
   if (!run->is_cancelled &&
       !std::string_view(request[kNestedCallHeader]).empty()) {
-    has_nested_call_succeeded = co_await this->SendNestedCall(request);
+    has_nested_call_succeeded =
+        co_await this->SendNestedCall(request, cancellation);
+    run->is_cancelled = cancellation->IsCancelled();
   }
+  run->ended_at = BootTime::now();
   const bool has_failed = this->fails_requests || !has_nested_call_succeeded;
   HttpResponse response = this->MakeResponse(
       request,
@@ -120,16 +123,25 @@
   co_return response;
 }
 
-Awaitable<bool> AttemptTarget::SendNestedCall(const HttpRequest& request) {
+Awaitable<bool> AttemptTarget::SendNestedCall(
+    const HttpRequest& request,
+    std::shared_ptr<Cancellation> cancellation) {
   const std::string path(request[kNestedCallHeader]);
   HttpRequest nested_request(http::verb::get, path, 11);
+  const std::string host(request[kNestedHostHeader]);
+  nested_request.set(http::field::host,
+                     host.empty() ? this->node_address.ToString() : host);
   nested_request.set(kAttemptId, this->id + "-onward-" +
                                      std::to_string(this->nested_call_count++));
   nested_request.set(kTimeoutBudget, std::string(request[kTimeoutBudget]));
-  ErrorCode error;
-  const std::optional<HttpResponse> response = co_await Fetch(
-      this->context, this->node_address, std::move(nested_request), {}, error);
-  co_return response && response->result() == http::status::ok;
+  nested_request.keep_alive(false);
+  nested_request.prepare_payload();
+  const TargetExchange exchange = co_await this->nested_client.Send(
+      std::move(nested_request), BootTime::now() + kNestedCallTimeout,
+      std::move(cancellation));
+  co_return exchange.end ==
+      TargetExchange::End::kAnswered&& exchange.response.result() ==
+      http::status::ok;
 }
 
 HttpResponse AttemptTarget::MakeResponse(const HttpRequest& request,
@@ -176,6 +188,7 @@
                      {"headers", run->headers},
                      {"body", run->body},
                      {"at_ns", run->started_at.time_since_epoch().count()},
+                     {"ended_ns", run->ended_at.time_since_epoch().count()},
                      {"cancelled", run->is_cancelled}});
     }
     response.body() = boost::json::serialize(log);
--- a/tests/standins/attempt_target.h
+++ b/tests/standins/attempt_target.h
@@ -11,6 +11,7 @@
 #include "transport/cancellation.h"
 #include "transport/http.h"
 #include "transport/http_server.h"
+#include "transport/target_client.h"
 
 namespace daisywinch::test {
 
@@ -38,6 +39,8 @@
     boost::json::object headers;
     std::string body;
     TimePoint started_at;
+    /// The start of the clock until the target has ended its work.
+    TimePoint ended_at;
     bool is_cancelled = false;
   };
 
@@ -45,9 +48,11 @@
                                  std::shared_ptr<Cancellation> cancellation);
   Awaitable<HttpResponse> Serve(HttpRequest request,
                                 std::shared_ptr<Cancellation> cancellation);
-  /// Calls the path in the request's X-Onward header through the local node.
+  /// Calls the path in the request's X-Onward header through the local node,
+  /// with the host in its X-Onward-Host header, until the request is cancelled.
   /// Returns whether the response was 200.
-  Awaitable<bool> SendNestedCall(const HttpRequest& request);
+  Awaitable<bool> SendNestedCall(const HttpRequest& request,
+                                 std::shared_ptr<Cancellation> cancellation);
   HttpResponse HandleTestRequest(const HttpRequest& request);
   HttpResponse MakeResponse(const HttpRequest& request, http::status status);
   /// Adds what the target states about itself in all its responses.
@@ -57,6 +62,7 @@
   Address address;
   Address node_address;
   std::string id;
+  TargetClient nested_client;
   HttpServer server;
   std::vector<std::shared_ptr<Run>> runs;
   Duration service_time = std::chrono::milliseconds(5);
--- a/tests/standins/target.cc
+++ b/tests/standins/target.cc
@@ -134,10 +134,7 @@
   } else {
     timer.expires_after(time);
   }
-  cancellation->SetAction([&timer] { timer.cancel(); });
-  ErrorCode error;
-  co_await timer.async_wait(Await(error));
-  cancellation->ClearAction();
+  co_await WaitUnlessCancelled(timer, cancellation);
   co_return !cancellation->IsCancelled();
 }
 
--- a/tests/transport/call_shutdown_test.cc
+++ b/tests/transport/call_shutdown_test.cc
@@ -83,11 +83,8 @@
     ++this->handled_calls;
     Timer timer(this->context,
                 std::chrono::microseconds(request.objective_microseconds()));
-    cancellation->SetAction([&timer] { timer.cancel(); });
-    ErrorCode error;
-    co_await timer.async_wait(Await(error));
-    cancellation->ClearAction();
-    if (error) {
+    co_await WaitUnlessCancelled(timer, cancellation);
+    if (cancellation->IsCancelled()) {
       co_return MakeRefusedReply(RefusalReason::kDeadlinePassed);
     }
     protocol::CallReply reply;
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -93,9 +93,7 @@
     if (request.target() == "/wait") {
       const std::shared_ptr<Timer> timer =
           std::make_shared<Timer>(this->context, std::chrono::seconds(20));
-      cancellation->SetAction([timer] { timer->cancel(); });
-      ErrorCode ignored;
-      co_await timer->async_wait(Await(ignored));
+      co_await WaitUnlessCancelled(*timer, cancellation);
     } else if (request.target() == "/large") {
       response.body() = std::string(kLargeBodySize, 'x');
     }
