Start no request whose caller left before it was read

What callers saw: nothing, they had left; targets got and worked on their requests.

Cause: HttpServer handed a request over as soon as it had been read, without a look at what was behind it. A caller that had left while its request waited in the accept queue or in a socket (behind a loop that was late, a process that stood still) was charged, admitted and sent on. The watch for the end of the connection ended at the first byte of a further request, so that an end behind it was noticed only after the response.

Change: what has arrived behind a request is read ahead, up to 64 KB, and an end of the connection is remembered. The watch goes on over the bytes of further requests.

--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -68,7 +68,9 @@
   std::optional<Call> call;
   bool may_be_duplicate = MayBeDuplicate(request, nullptr);
   const std::shared_ptr<const Snapshot> snapshot = this->snapshots.Load();
-  if (snapshot) {
+  if (cancellation->IsCancelled()) {
+    reason = RefusalReason::kCancelledUnsent;
+  } else if (snapshot) {
     const Route* route =
         snapshot->Routes().Find(request.method_string(), request.target());
     may_be_duplicate = MayBeDuplicate(request, route);
--- a/src/node/mesh_ingress.cc
+++ b/src/node/mesh_ingress.cc
@@ -112,7 +112,9 @@
     std::shared_ptr<Cancellation> cancellation) {
   Call call;
   call.started = this->clock.Now();
-  const RefusalReason reason = this->Admit(request, call);
+  const RefusalReason reason = cancellation->IsCancelled()
+                                   ? this->RefuseUnread(request, call)
+                                   : this->Admit(request, call);
   if (reason != RefusalReason::kNone) {
     this->RecordMetrics(call, static_cast<std::uint32_t>(reason),
                         Duration::zero());
@@ -135,6 +137,13 @@
   co_return this->MakeResponse(call, std::move(reply));
 }
 
+RefusalReason MeshIngress::RefuseUnread(const HttpRequest& request,
+                                        Call& call) {
+  call.attempt_id = platform::ReadAttemptHeaders(request).attempt_id;
+  this->LogCancellation(call, CancellationCause::kCallerLeft);
+  return RefusalReason::kCancelledUnsent;
+}
+
 void MeshIngress::RecordOutcome(const Call& call,
                                 const protocol::CallReply& reply) {
   const TimePoint now = this->clock.Now();
--- a/src/node/mesh_ingress.h
+++ b/src/node/mesh_ingress.h
@@ -112,6 +112,8 @@
       Call& call,
       const MeshTarget& target,
       std::shared_ptr<Cancellation> cancellation);
+  /// Notes the attempt id of a request whose caller left before it was read.
+  RefusalReason RefuseUnread(const HttpRequest& request, Call& call);
   void LogCancellation(const Call& call, CancellationCause cause);
   void LogOverRate(const Call& call);
   /// Logs the requests that are refused since the last call.
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -20,6 +20,9 @@
 namespace {
 
 constexpr std::size_t kReadSize = 8 * 1024;
+/// Maximum number of buffered bytes that follow a request in progress. The end
+/// of a connection behind more bytes is noticed after the response.
+constexpr std::size_t kMaxReadAhead = 64 * 1024;
 constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
 /// Maximum time for which a connection that this server closes is kept for the
 /// caller to read the response.
@@ -65,8 +68,25 @@
                   MSG_PEEK | MSG_DONTWAIT) > 0;
   }
 
+  /// Reads the bytes that have arrived into the buffer, without waiting, and
+  /// notices if the caller has ended the connection behind them.
+  void ReadAhead() {
+    while (!this->has_ended && this->buffer.size() < kMaxReadAhead) {
+      const asio::mutable_buffer space = this->buffer.prepare(kReadSize);
+      const ssize_t count = ::recv(this->stream.socket().native_handle(),
+                                   space.data(), space.size(), MSG_DONTWAIT);
+      if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+      }
+      this->has_ended = count <= 0;
+      this->buffer.commit(count > 0 ? static_cast<std::size_t>(count) : 0);
+    }
+  }
+
   boost::beast::tcp_stream stream;
   boost::beast::flat_buffer buffer;
+  /// The caller has closed the connection and waits for no response.
+  bool has_ended = false;
   State state = State::kFirstRequest;
   /// Cancels the request in progress; null if there is none.
   std::shared_ptr<Cancellation> cancellation;
@@ -174,7 +194,7 @@
 Awaitable<> HttpServer::Serve(ConnectionList::iterator position) {
   const std::shared_ptr<Connection> connection = *position;
   bool keep_alive = true;
-  while (keep_alive) {
+  while (keep_alive && !connection->has_ended) {
     HttpRequest request;
     const bool has_request = co_await this->WaitForRequest(*connection);
     connection->state = Connection::State::kInRequest;
@@ -185,6 +205,10 @@
     }
     keep_alive = request.keep_alive();
     connection->cancellation = std::make_shared<Cancellation>();
+    connection->ReadAhead();
+    if (connection->has_ended) {
+      connection->cancellation->Cancel(CancellationCause::kCallerLeft);
+    }
     asio::co_spawn(
         this->context,
         this->WatchForDisconnect(connection, connection->cancellation),
@@ -266,17 +290,17 @@
 Awaitable<> HttpServer::WatchForDisconnect(
     std::shared_ptr<Connection> connection,
     std::shared_ptr<Cancellation> cancellation) {
-  ErrorCode error;
   Tcp::socket& socket = connection->stream.socket();
-  co_await socket.async_wait(Tcp::socket::wait_read, Await(error));
-  if (error) {
-    co_return;
+  while (!connection->has_ended && connection->buffer.size() < kMaxReadAhead) {
+    ErrorCode error;
+    co_await socket.async_wait(Tcp::socket::wait_read, Await(error));
+    const bool is_in_progress = connection->cancellation == cancellation;
+    if (error || !is_in_progress) {
+      co_return;
+    }
+    connection->ReadAhead();
   }
-  char byte = 0;
-  const ssize_t count = ::recv(socket.native_handle(), &byte, sizeof(byte),
-                               MSG_PEEK | MSG_DONTWAIT);
-  const bool has_data = count > 0 || (count < 0 && errno == EAGAIN);
-  if (!has_data) {
+  if (connection->has_ended) {
     cancellation->Cancel(CancellationCause::kCallerLeft);
   }
 }
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -33,7 +33,9 @@
 class HttpServer {
  public:
   /// Produces the response to one request. The cancellation fires when the
-  /// caller closes the connection, and shortly before a shutdown ends.
+  /// caller closes the connection, and shortly before a shutdown ends. If the
+  /// caller closed it before its request was read, the request is cancelled
+  /// from the beginning and must not be started.
   using Handler =
       std::function<Awaitable<HttpResponse>(HttpRequest,
                                             std::shared_ptr<Cancellation>)>;
@@ -85,7 +87,7 @@
   /// would lose the end of the response.
   Awaitable<> Close(Connection& connection);
   /// Fires the cancellation when the caller closes the connection during a
-  /// request.
+  /// request. Bytes of its next requests are read into the buffer meanwhile.
   Awaitable<> WatchForDisconnect(std::shared_ptr<Connection> connection,
                                  std::shared_ptr<Cancellation> cancellation);
 
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -1,5 +1,6 @@
 #include <unistd.h>
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -39,6 +40,9 @@
           static_cast<std::uint16_t>(next_port++)};
 }
 
+/// Time after the end of a connection by which its requests must be cancelled.
+constexpr milliseconds kMaxCancellationTime{500};
+
 /// A server whose responses repeat the path of the request. The path /wait is
 /// answered when the request is cancelled, /large with a large body.
 class ServerFixture {
@@ -84,16 +88,21 @@
   }
 
   const Address& ServerAddress() const { return this->address; }
+  /// Number of requests that were not cancelled before they were handled.
+  int StartedRequests() const { return this->started_requests; }
+  int CancelledRequests() const { return this->cancelled_requests; }
 
  private:
   Awaitable<HttpResponse> Handle(HttpRequest request,
                                  std::shared_ptr<Cancellation> cancellation) {
+    this->started_requests += cancellation->IsCancelled() ? 0 : 1;
     HttpResponse response(http::status::ok, 11);
     response.body() = std::string(request.target());
     if (request.target() == "/wait") {
       const std::shared_ptr<Timer> timer =
           std::make_shared<Timer>(this->context, std::chrono::seconds(20));
       co_await WaitUnlessCancelled(*timer, cancellation);
+      this->cancelled_requests += cancellation->IsCancelled() ? 1 : 0;
     } else if (request.target() == "/large") {
       response.body() = std::string(kLargeBodySize, 'x');
     }
@@ -104,6 +113,8 @@
   asio::io_context context{1};
   Address address;
   std::unique_ptr<HttpServer> server;
+  std::atomic<int> started_requests = 0;
+  std::atomic<int> cancelled_requests = 0;
   std::thread thread;
 };
 
@@ -122,6 +133,8 @@
     this->Write("GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n");
   }
 
+  void Close() { this->socket.close(); }
+
   /// Reads a response; nothing if there is no complete one.
   std::optional<HttpResponse> ReadResponse() {
     ErrorCode error;
@@ -146,6 +159,15 @@
   boost::beast::flat_buffer buffer;
 };
 
+/// Whether the number of cancelled requests reaches `count` in time.
+bool AreCancelledInTime(const ServerFixture& server, int count) {
+  const TimePoint end = BootTime::now() + kMaxCancellationTime;
+  while (server.CancelledRequests() < count && BootTime::now() < end) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  return server.CancelledRequests() == count;
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(http_server)
@@ -261,6 +283,82 @@
   BOOST_TEST(newer.ReadResponse().has_value());
 }
 
+// Such a request was handled as if its caller waited.
+BOOST_AUTO_TEST_CASE(
+    request_whose_caller_left_before_it_was_read_is_not_started) {
+  ServerFixture server;
+  for (int count = 0; count < 20; ++count) {
+    Connection connection(server.ServerAddress());
+    connection.SendRequest("/left");
+  }
+  Connection staying(server.ServerAddress());
+  staying.SendRequest("/stayed");
+  server.Run();
+  BOOST_TEST(staying.ReadResponse().has_value());
+  BOOST_TEST(server.StartedRequests() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(request_behind_which_its_caller_left_is_not_started) {
+  ServerFixture server;
+  {
+    Connection connection(server.ServerAddress());
+    connection.Write(
+        "GET /first HTTP/1.1\r\nHost: a\r\n\r\n"
+        "GET /second HTTP/1.1\r\nHost: a\r\n\r\n");
+  }
+  server.Run();
+  std::this_thread::sleep_for(milliseconds(200));
+  BOOST_TEST(server.StartedRequests() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(caller_that_leaves_is_noticed) {
+  ServerFixture server;
+  server.Run();
+  Connection connection(server.ServerAddress());
+  connection.SendRequest("/wait");
+  std::this_thread::sleep_for(milliseconds(100));
+  connection.Close();
+  BOOST_TEST(AreCancelledInTime(server, 1));
+}
+
+// The bytes of the next request ended the watch for the caller's end.
+BOOST_AUTO_TEST_CASE(caller_that_leaves_behind_its_next_request_is_noticed) {
+  ServerFixture server;
+  server.Run();
+  Connection together(server.ServerAddress());
+  together.Write(
+      "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n"
+      "GET /next HTTP/1.1\r\nHost: a\r\n\r\n");
+  Connection later(server.ServerAddress());
+  later.SendRequest("/wait");
+  std::this_thread::sleep_for(milliseconds(100));
+  later.SendRequest("/next");
+  std::this_thread::sleep_for(milliseconds(100));
+  BOOST_TEST(server.CancelledRequests() == 0);
+  together.Close();
+  later.Close();
+  BOOST_TEST(AreCancelledInTime(server, 2));
+  std::this_thread::sleep_for(milliseconds(100));
+  BOOST_TEST(server.StartedRequests() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(requests_sent_together_are_answered_in_order) {
+  ServerFixture server;
+  server.Run();
+  Connection connection(server.ServerAddress());
+  std::string requests;
+  for (int count = 0; count < 50; ++count) {
+    requests +=
+        "GET /" + std::to_string(count) + " HTTP/1.1\r\nHost: a\r\n\r\n";
+  }
+  connection.Write(requests);
+  for (int count = 0; count < 50; ++count) {
+    const std::optional<HttpResponse> response = connection.ReadResponse();
+    BOOST_REQUIRE(response);
+    BOOST_TEST(response->body() == "/" + std::to_string(count));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace daisywinch::test
