End the calls of silent peers, and start none that was held back

What callers saw: nothing; targets worked on for callers of nodes that were gone or that had given the call up.

Cause: a gate learned that nobody waits only from a cancel frame or from the end of the connection. A peer without power or link sends neither, and its calls ran until their deadlines. A gate that stood still, or whose link had been cut, started what had been held back as soon as it arrived, ahead of the cancellation or the end of the connection behind it.

Change: CallServer pings peers that are silent while their calls are in progress, and closes their connections after 1.2 s (event 3007); the time in which this process stands still doesn't count. Bytes that arrive after 0.5 s of silence may have been held back: calls among them wait until the peer has received something that was sent after they arrived, which takes a round trip, or until their cancellation or the end of the connection has been read. A call after a ping of the ingress carries the time in the pong and doesn't wait.

--- a/src/state/event_log.cc
+++ b/src/state/event_log.cc
@@ -133,6 +133,10 @@
                      "the rates."},
     EventDescription{EventId::kTrafficHeard, kInformation, "traffic-heard",
                      "A relay receives these traffic updates again."},
+    EventDescription{EventId::kPeerSilent, kWarning, "peer-silent",
+                     "A node whose calls are in progress at this gate sent "
+                     "nothing for so long that its power or link may be lost; "
+                     "its connection is closed and the calls are cancelled."},
     EventDescription{EventId::kTargetCold, kWarning, "target-cold",
                      "The target is new, restarted or cold again; its "
                      "concurrency limit starts low."},
--- a/src/state/event_log.h
+++ b/src/state/event_log.h
@@ -47,6 +47,7 @@
   kRelayFollowed = 3004,
   kTrafficSilent = 3005,
   kTrafficHeard = 3006,
+  kPeerSilent = 3007,
   kTargetCold = 4001,
   kTargetWarm = 4002,
   kTargetMaxRateChanged = 4003,
--- a/src/transport/call_client.cc
+++ b/src/transport/call_client.cc
@@ -68,6 +68,7 @@
   }
   const std::uint64_t call_id = this->next_call_id++;
   request.set_call_id(call_id);
+  request.set_heard_at(std::exchange(this->heard_at, 0));
   const Duration remaining = deadline - this->clock.Now();
   request.set_remaining_microseconds(std::max<std::int64_t>(
       0, std::chrono::duration_cast<std::chrono::microseconds>(remaining)
@@ -115,7 +116,7 @@
     co_return !connection->IsClosed();
   }
   if (this->liveness_waiters.empty()) {
-    SendPing(*connection);
+    connection->SendPing();
   }
   const std::shared_ptr<Timer> waiter = std::make_shared<Timer>(
       this->context, std::min<TimePoint>(deadline, started + kLivenessTimeout));
@@ -150,17 +151,11 @@
     if (silence >= kSilenceBeforeClose) {
       connection->Close();
     } else if (silence >= kSilenceBeforePing) {
-      SendPing(*connection);
+      connection->SendPing();
     }
   }
 }
 
-void CallClient::SendPing(FrameStream& connection) {
-  protocol::CallFrame ping;
-  ping.mutable_ping()->set_nonce(1);
-  connection.Send(ping);
-}
-
 void CallClient::WakeAll(std::vector<std::shared_ptr<Timer>>& timers) {
   for (const std::shared_ptr<Timer>& timer : std::exchange(timers, {})) {
     timer->cancel();
@@ -198,6 +193,7 @@
       co_await connection->Connect(this->address, kConnectTimeout);
   if (connected) {
     this->stream = connection;
+    this->heard_at = 0;
     asio::co_spawn(this->context, this->ReadReplies(self, connection),
                    asio::detached);
     asio::co_spawn(this->context, this->MonitorLiveness(self, connection),
@@ -218,6 +214,10 @@
     WakeAll(self->liveness_waiters);
     if (frame->has_reply()) {
       self->HandleReply(std::move(*frame->mutable_reply()));
+    } else if (frame->has_ping()) {
+      connection->SendPong(frame->ping());
+    } else if (frame->has_pong() && self->stream == connection) {
+      self->heard_at = frame->pong().sent_at();
     } else if (frame->has_end_of_replies()) {
       connection->Close();
       reason = RefusalReason::kDraining;
--- a/src/transport/call_client.h
+++ b/src/transport/call_client.h
@@ -78,7 +78,6 @@
   /// remains silent.
   Awaitable<> MonitorLiveness(std::shared_ptr<CallClient> self,
                               std::shared_ptr<FrameStream> connection);
-  static void SendPing(FrameStream& connection);
   static void WakeAll(std::vector<std::shared_ptr<Timer>>& timers);
   Awaitable<> Connect(std::shared_ptr<CallClient> self);
   Awaitable<> ReadReplies(std::shared_ptr<CallClient> self,
@@ -95,6 +94,9 @@
   Address address;
   std::size_t size_limit;
   std::shared_ptr<FrameStream> stream;
+  /// The newest time in a pong on this connection that no call has returned
+  /// yet; 0 if there is none.
+  std::uint64_t heard_at = 0;
   bool connecting = false;
   std::vector<std::shared_ptr<Timer>> connection_waiters;
   /// Calls that wait for the peer to respond to a ping.
--- a/src/transport/call_server.cc
+++ b/src/transport/call_server.cc
@@ -6,7 +6,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "state/duration.h"
 #include "state/event_log.h"
+#include "transport/call_client.h"
 #include "transport/listen.h"
 
 namespace daisywinch {
@@ -23,6 +25,13 @@
 /// cancelled.
 constexpr std::chrono::milliseconds kCancellationMargin{100};
 constexpr std::chrono::milliseconds kShutdownCheckInterval{10};
+constexpr std::chrono::milliseconds kMonitorInterval{150};
+/// Time without received bytes, while calls are in progress, after which the
+/// peer is pinged and after which its connection is closed. Longer than the
+/// times after which a CallClient does the same, so that its pings make those
+/// of the server needless.
+constexpr std::chrono::milliseconds kSilenceBeforePing{600};
+constexpr std::chrono::milliseconds kSilenceBeforeClose{1200};
 
 }  // namespace
 
@@ -34,7 +43,8 @@
       tls(tls),
       size_limit(size_limit),
       handler(std::move(handler)),
-      acceptor(context) {}
+      acceptor(context),
+      monitor_timer(context) {}
 
 ErrorCode CallServer::Listen(const Address& address) {
   ErrorCode error = ListenOn(this->acceptor, address);
@@ -43,6 +53,7 @@
   }
   if (!error) {
     asio::co_spawn(this->context, this->Accept(), asio::detached);
+    asio::co_spawn(this->context, this->MonitorPeers(), asio::detached);
   }
   return error;
 }
@@ -140,27 +151,18 @@
   for (const auto& [call_id, cancellation] : connection->calls) {
     cancellation->Cancel(CancellationCause::kPeerLost);
   }
+  this->StartHeldCalls(connection);
   this->connections.erase(position);
 }
 
 void CallServer::HandleFrame(const std::shared_ptr<Connection>& connection,
                              protocol::CallFrame frame) {
   if (frame.has_request()) {
-    // Registered before the coroutine starts, as a connection without calls may
-    // be ended at any time.
-    const std::shared_ptr<Cancellation> cancellation =
-        std::make_shared<Cancellation>();
-    connection->calls[frame.request().call_id()] = cancellation;
-    ++this->calls_in_progress;
-    asio::co_spawn(
-        this->context,
-        this->HandleCall(connection, std::move(*frame.mutable_request()),
-                         cancellation),
-        asio::detached);
+    this->HandleRequest(connection, std::move(*frame.mutable_request()));
   } else if (frame.has_ping()) {
-    protocol::CallFrame pong;
-    pong.mutable_pong()->set_nonce(frame.ping().nonce());
-    connection->stream->Send(pong);
+    connection->stream->SendPong(frame.ping());
+  } else if (frame.has_pong()) {
+    this->Confirm(connection, frame.pong().nonce());
   } else if (frame.has_cancel()) {
     const auto call = connection->calls.find(frame.cancel().call_id());
     if (call != connection->calls.end()) {
@@ -169,13 +171,101 @@
   }
 }
 
+void CallServer::HandleRequest(const std::shared_ptr<Connection>& connection,
+                               protocol::CallRequest request) {
+  // Registered before it starts, as a connection without calls may be ended at
+  // any time.
+  const std::shared_ptr<Cancellation> cancellation =
+      std::make_shared<Cancellation>();
+  connection->calls[request.call_id()] = cancellation;
+  ++this->calls_in_progress;
+  this->Confirm(connection, request.heard_at());
+  if (!IsUnconfirmed(*connection)) {
+    this->StartCall(connection, std::move(request), cancellation);
+    return;
+  }
+  if (connection->held_calls.empty()) {
+    connection->stream->SendPing();
+  }
+  connection->held_calls.push_back(
+      {std::move(request), cancellation, BootTime::now()});
+}
+
+bool CallServer::IsUnconfirmed(const Connection& connection) {
+  return connection.stream->LastResumed() > connection.confirmed_at;
+}
+
+void CallServer::Confirm(const std::shared_ptr<Connection>& connection,
+                         std::uint64_t sent_at) {
+  connection->confirmed_at = std::max(
+      connection->confirmed_at, TimePoint(std::chrono::microseconds(sent_at)));
+  if (connection->held_calls.empty()) {
+    return;
+  }
+  if (IsUnconfirmed(*connection)) {
+    connection->stream->SendPing();
+  } else {
+    this->StartHeldCalls(connection);
+  }
+}
+
+void CallServer::StartHeldCalls(const std::shared_ptr<Connection>& connection) {
+  const TimePoint now = BootTime::now();
+  for (HeldCall& call : std::exchange(connection->held_calls, {})) {
+    const std::uint64_t remaining = call.request.remaining_microseconds();
+    call.request.set_remaining_microseconds(
+        remaining - std::min(remaining, ToMicroseconds(now - call.arrived_at)));
+    this->StartCall(connection, std::move(call.request), call.cancellation);
+  }
+}
+
+void CallServer::StartCall(const std::shared_ptr<Connection>& connection,
+                           protocol::CallRequest request,
+                           std::shared_ptr<Cancellation> cancellation) {
+  asio::co_spawn(
+      this->context,
+      this->HandleCall(connection, std::move(request), std::move(cancellation)),
+      asio::detached);
+}
+
+Awaitable<> CallServer::MonitorPeers() {
+  while (this->acceptor.is_open() || !this->connections.empty()) {
+    ErrorCode ignored;
+    this->monitor_timer.expires_after(kMonitorInterval);
+    co_await this->monitor_timer.async_wait(Await(ignored));
+    for (const std::shared_ptr<Connection>& connection : this->connections) {
+      const TimePoint last_received = connection->stream->LastReceived();
+      if (connection->calls.empty() ||
+          last_received != connection->silent_since) {
+        connection->silent_since = last_received;
+        connection->silence = Duration::zero();
+        continue;
+      }
+      connection->silence += kMonitorInterval;
+      if (connection->silence >= kSilenceBeforeClose) {
+        LogEvent(
+            EventId::kPeerSilent,
+            {{"ip", connection->stream->PeerIp()},
+             {"calls", static_cast<std::uint64_t>(connection->calls.size())}});
+        connection->stream->Close();
+      } else if (connection->silence >= kSilenceBeforePing) {
+        connection->stream->SendPing();
+      }
+    }
+  }
+}
+
 Awaitable<> CallServer::HandleCall(std::shared_ptr<Connection> connection,
                                    protocol::CallRequest request,
                                    std::shared_ptr<Cancellation> cancellation) {
   const std::uint64_t call_id = request.call_id();
   protocol::CallFrame frame;
-  *frame.mutable_reply() =
-      co_await this->handler(std::move(request), cancellation);
+  if (cancellation->IsCancelled()) {
+    *frame.mutable_reply() = MakeRefusedReply(RefusalReason::kCancelledUnsent);
+  } else {
+    *frame.mutable_reply() =
+        co_await this->handler(std::move(request), cancellation);
+  }
   frame.mutable_reply()->set_call_id(call_id);
   connection->calls.erase(call_id);
   connection->stream->Send(frame, nullptr,
--- a/src/transport/call_server.h
+++ b/src/transport/call_server.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 #include "transport/cancellation.h"
 #include "transport/frame_stream.h"
@@ -18,7 +19,8 @@
 class CallServer {
  public:
   /// Produces the reply to one call. The cancellation fires when the ingress
-  /// cancels the call or its connection ends.
+  /// cancels the call, when its connection ends, and when the ingress is silent
+  /// for so long that it may have lost its power or its link.
   using Handler = std::function<Awaitable<protocol::CallReply>(
       protocol::CallRequest,
       std::shared_ptr<Cancellation>)>;
@@ -49,10 +51,25 @@
   }
 
  private:
+  /// A call that isn't started until its ingress confirms that it waits for it.
+  struct HeldCall {
+    protocol::CallRequest request;
+    std::shared_ptr<Cancellation> cancellation;
+    TimePoint arrived_at;
+  };
+
   /// A connection and the cancellations of its calls in progress, by call id.
   struct Connection {
     std::shared_ptr<FrameStream> stream;
     std::unordered_map<std::uint64_t, std::shared_ptr<Cancellation>> calls;
+    std::vector<HeldCall> held_calls;
+    /// The newest time at which this server sent bytes that the ingress has
+    /// received; what the ingress sent since then has arrived in time.
+    TimePoint confirmed_at;
+    /// Time without received bytes while calls are in progress. Doesn't grow
+    /// while this process stands still.
+    Duration silence = Duration::zero();
+    TimePoint silent_since;
     bool is_authenticated = false;
     /// Calls that arrive from now on are not handled.
     bool has_ended = false;
@@ -66,6 +83,22 @@
   void EndIfIdle(Connection& connection) const;
   void HandleFrame(const std::shared_ptr<Connection>& connection,
                    protocol::CallFrame frame);
+  void HandleRequest(const std::shared_ptr<Connection>& connection,
+                     protocol::CallRequest request);
+  /// Whether the calls that arrive now may have been held back, so that nobody
+  /// may wait for them any more.
+  static bool IsUnconfirmed(const Connection& connection);
+  /// Records that the ingress has received what was sent at the given time, in
+  /// microseconds of this server's clock.
+  void Confirm(const std::shared_ptr<Connection>& connection,
+               std::uint64_t sent_at);
+  void StartHeldCalls(const std::shared_ptr<Connection>& connection);
+  void StartCall(const std::shared_ptr<Connection>& connection,
+                 protocol::CallRequest request,
+                 std::shared_ptr<Cancellation> cancellation);
+  /// Checks the connections on which calls are in progress: pings silent peers,
+  /// and closes the connections of those that don't respond.
+  Awaitable<> MonitorPeers();
   Awaitable<> Serve(std::shared_ptr<Connection> connection);
   Awaitable<> HandleCall(std::shared_ptr<Connection> connection,
                          protocol::CallRequest request,
@@ -77,6 +110,8 @@
   Handler handler;
   Tcp::acceptor acceptor;
   std::list<std::shared_ptr<Connection>> connections;
+  /// Runs between two checks of the peers.
+  Timer monitor_timer;
   std::atomic<int> calls_in_progress = 0;
   std::uint64_t rejected_connections = 0;
   bool is_shutting_down = false;
--- a/src/transport/frame_stream.cc
+++ b/src/transport/frame_stream.cc
@@ -7,8 +7,23 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 
+#include "state/duration.h"
+
 namespace daisywinch {
 
+namespace {
+
+/// Silence after which received bytes may have been held back.
+constexpr std::chrono::milliseconds kMaxTrustedSilence{500};
+
+/// The current time in microseconds, rounded up, so that it is never before a
+/// time that was measured earlier.
+std::uint64_t CurrentMicroseconds() {
+  return ToMicroseconds(BootTime::now().time_since_epoch()) + 1;
+}
+
+}  // namespace
+
 FrameStream::FrameStream(asio::io_context& context,
                          asio::ssl::context* tls,
                          std::size_t size_limit)
@@ -19,6 +34,7 @@
                          std::size_t size_limit)
     : socket(std::move(socket)),
       last_received(BootTime::now()),
+      last_resumed(this->last_received),
       decoder(size_limit) {
   if (tls != nullptr) {
     this->tls_stream = std::make_unique<TlsStream>(this->socket, *tls);
@@ -96,7 +112,11 @@
     if (error) {
       break;
     }
-    this->last_received = BootTime::now();
+    const TimePoint now = BootTime::now();
+    if (now - this->last_received >= kMaxTrustedSilence) {
+      this->last_resumed = now;
+    }
+    this->last_received = now;
     this->decoder.Append({this->read_buffer.data(), count});
   }
   this->Close();
@@ -128,6 +148,25 @@
   });
 }
 
+void FrameStream::SendPing() {
+  protocol::CallFrame frame;
+  frame.mutable_ping()->set_nonce(CurrentMicroseconds());
+  this->Send(frame);
+}
+
+void FrameStream::SendPong(const protocol::Ping& ping) {
+  protocol::CallFrame frame;
+  frame.mutable_pong()->set_nonce(ping.nonce());
+  frame.mutable_pong()->set_sent_at(CurrentMicroseconds());
+  this->Send(frame);
+}
+
+std::string FrameStream::PeerIp() const {
+  ErrorCode error;
+  const Tcp::endpoint endpoint = this->socket.remote_endpoint(error);
+  return error ? "" : endpoint.address().to_string();
+}
+
 Awaitable<> FrameStream::WriteQueue(std::shared_ptr<FrameStream> self) {
   while (!this->queue.empty() && !this->closed) {
     std::string bytes;
--- a/src/transport/frame_stream.h
+++ b/src/transport/frame_stream.h
@@ -54,11 +54,23 @@
   /// Queues a frame as the last one; reading goes on.
   void SendLast(const protocol::CallFrame& frame);
 
+  /// Asks the peer to respond with a pong.
+  void SendPing();
+  /// Responds to a ping.
+  void SendPong(const protocol::Ping& ping);
+
+  /// IP address of the peer; empty if it isn't connected.
+  std::string PeerIp() const;
+
   void Close();
   bool IsClosed() const { return this->closed; }
 
   /// Time at which bytes were last received; at first, the time of creation.
   TimePoint LastReceived() const { return this->last_received; }
+  /// Time at which bytes last arrived after a silence so long that they may
+  /// have been held back on the way or by this process; at first, the time of
+  /// creation.
+  TimePoint LastResumed() const { return this->last_resumed; }
 
  private:
   struct QueuedFrame {
@@ -78,6 +90,7 @@
   Tcp::socket socket;
   std::unique_ptr<TlsStream> tls_stream;
   TimePoint last_received;
+  TimePoint last_resumed;
   FrameDecoder decoder;
   std::deque<QueuedFrame> queue;
   std::array<char, 16 * 1024> read_buffer = {};
--- a/tests/support/loopback_proxy.cc
+++ b/tests/support/loopback_proxy.cc
@@ -124,14 +124,6 @@
     ErrorCode error;
     const std::size_t count =
         co_await source.async_read_some(asio::buffer(buffer), Await(error));
-    if (error == asio::error::eof) {
-      sink.shutdown(Tcp::socket::shutdown_send, error);
-      co_return;
-    }
-    if (error) {
-      connection->ResetBoth();
-      co_return;
-    }
     const Duration delay = this->CurrentFault().delay;
     if (delay > Duration::zero()) {
       co_await this->Wait(delay);
@@ -140,6 +132,14 @@
                         : this->CurrentFault().stalls_to_client) {
       co_await this->Wait(kStallPollInterval);
     }
+    if (error == asio::error::eof) {
+      sink.shutdown(Tcp::socket::shutdown_send, error);
+      co_return;
+    }
+    if (error) {
+      connection->ResetBoth();
+      co_return;
+    }
     co_await asio::async_write(sink, asio::buffer(buffer.data(), count),
                                Await(error));
     if (error) {
--- a/tests/support/loopback_proxy.h
+++ b/tests/support/loopback_proxy.h
@@ -15,7 +15,8 @@
 /// Faults of the link through a proxy.
 struct LinkFault {
   Duration delay = Duration::zero();
-  /// Holds back the bytes of one direction and keeps the connections open.
+  /// Holds back the bytes and the end of one direction and keeps the
+  /// connections open.
   bool stalls_to_server = false;
   bool stalls_to_client = false;
   /// Accepts new connections and resets them.
