Start held calls of peers that confirm none

A call is held for at most 0.4 s and the interval of the check; a cancellation or the end of the connection that was held back with it has been read by then. call_cancellation holds; the mixed fleet itself was not run.

--- a/src/transport/call_server.cc
+++ b/src/transport/call_server.cc
@@ -32,6 +32,9 @@
 /// of the server needless.
 constexpr std::chrono::milliseconds kSilenceBeforePing{600};
 constexpr std::chrono::milliseconds kSilenceBeforeClose{1200};
+/// Maximum wait for the peer's confirmation of a call. Nodes of earlier
+/// versions send none.
+constexpr std::chrono::milliseconds kConfirmationTimeout{400};
 
 }  // namespace
 
@@ -233,7 +236,13 @@
     ErrorCode ignored;
     this->monitor_timer.expires_after(kMonitorInterval);
     co_await this->monitor_timer.async_wait(Await(ignored));
+    const TimePoint now = BootTime::now();
     for (const std::shared_ptr<Connection>& connection : this->connections) {
+      if (!connection->held_calls.empty() &&
+          now - connection->held_calls.front().arrived_at >=
+              kConfirmationTimeout) {
+        this->StartHeldCalls(connection);
+      }
       const TimePoint last_received = connection->stream->LastReceived();
       if (connection->calls.empty() ||
           last_received != connection->silent_since) {
--- a/src/transport/call_server.h
+++ b/src/transport/call_server.h
@@ -51,7 +51,8 @@
   }
 
  private:
-  /// A call that isn't started until its ingress confirms that it waits for it.
+  /// A call that isn't started until its ingress confirms that it waits for it,
+  /// or has had enough time to cancel it.
   struct HeldCall {
     protocol::CallRequest request;
     std::shared_ptr<Cancellation> cancellation;
@@ -97,7 +98,8 @@
                  protocol::CallRequest request,
                  std::shared_ptr<Cancellation> cancellation);
   /// Checks the connections on which calls are in progress: pings silent peers,
-  /// and closes the connections of those that don't respond.
+  /// closes the connections of those that don't respond, and starts calls that
+  /// have been held for too long.
   Awaitable<> MonitorPeers();
   Awaitable<> Serve(std::shared_ptr<Connection> connection);
   Awaitable<> HandleCall(std::shared_ptr<Connection> connection,
