Take no nested call that a stopping node can't finish

Cause: after the serving time a stopping node refused root requests only. Nested calls (requests without a key on open routes) were taken until the local gate was idle, whatever they still needed, and were cancelled 0.1 s before the process ended.

Change: the ingress knows when its requests will be cut. While it stops it takes a call that may not be repeated only if its deadline lies before that, and any other only if its latency objective and the longest recent call of its route, with a quarter more, do; else it refuses it with reason 204, not run. A repeatable call that takes longer than all recent ones of its route may still be cut.

--- a/src/node/mesh_ingress.cc
+++ b/src/node/mesh_ingress.cc
@@ -29,6 +29,9 @@
 constexpr double kMaxSavedLeafRetries = 3;
 constexpr double kMaxSavedInnerRetries = 1;
 constexpr Duration kDefaultObjective = std::chrono::seconds(1);
+/// A call is expected to take no longer than the longest recent one of its
+/// route and this fraction of it, as a divisor, more.
+constexpr int kDurationMarginDivisor = 4;
 /// Retry delay while this node has no configuration.
 constexpr Duration kNotReadyRetryDelay = std::chrono::milliseconds(400);
 /// Retry delay while this node shuts down: the time until the process that
@@ -149,6 +152,9 @@
   const TimePoint now = this->clock.Now();
   const bool is_served = reply.outcome() == protocol::OUTCOME_ANSWERED &&
                          static_cast<int>(reply.status()) < kServerError;
+  if (is_served) {
+    this->longest_calls[call.route->name].Record(now - call.started, now);
+  }
   if (!call.is_root) {
     const RefusalReason reason = static_cast<RefusalReason>(reply.reason());
     // The slots that a target reports already allow for its rate limit. A
@@ -226,9 +232,6 @@
   call.priority = call.route->priority;
   // Targets send nested calls without an API key.
   call.is_root = customer != nullptr || !call.route->open;
-  if (call.is_root && this->is_draining) {
-    return RefusalReason::kDraining;
-  }
   if (customer != nullptr) {
     call.customer = customer->name;
     call.priority =
@@ -246,6 +249,9 @@
   }
   call.deadline =
       call.started + std::max(Duration::zero(), timeout - kResponseMargin);
+  if (this->IsTooLateToTake(call)) {
+    return RefusalReason::kDraining;
+  }
   if (!call.customer.empty() &&
       !this->rate_limiter.TryAcquire(call.customer, call.started)) {
     this->LogOverRate(call);
@@ -276,6 +282,23 @@
   return RefusalReason::kNone;
 }
 
+bool MeshIngress::IsTooLateToTake(const Call& call) const {
+  if (!this->answers_end) {
+    return false;
+  }
+  TimePoint expected_end = call.deadline;
+  if (call.route->repeatable) {
+    const auto found = this->longest_calls.find(call.route->name);
+    const Duration longest = found == this->longest_calls.end()
+                                 ? Duration::zero()
+                                 : found->second.Get(call.started);
+    const Duration expected = std::max<Duration>(
+        ObjectiveOf(*call.route), longest + longest / kDurationMarginDivisor);
+    expected_end = std::min(expected_end, call.started + expected);
+  }
+  return call.is_root || expected_end > *this->answers_end;
+}
+
 Awaitable<protocol::CallReply> MeshIngress::SendWithRetries(
     Call& call,
     std::shared_ptr<Cancellation> cancellation) {
@@ -409,7 +432,7 @@
   if (reason == RefusalReason::kNotReady || call.route == nullptr) {
     return kNotReadyRetryDelay;
   }
-  if (this->is_draining && call.is_root) {
+  if (this->answers_end && call.is_root) {
     return kDrainingRetryDelay;
   }
   const Duration objective = ObjectiveOf(*call.route);
--- a/src/node/mesh_ingress.h
+++ b/src/node/mesh_ingress.h
@@ -22,6 +22,7 @@
 #include "state/mesh_load_balancer.h"
 #include "state/mesh_settings.h"
 #include "state/mesh_view.h"
+#include "state/recent_maximum.h"
 #include "state/refusal.h"
 #include "state/retry_budget.h"
 #include "state/return_schedule.h"
@@ -59,8 +60,9 @@
                                  std::shared_ptr<Cancellation> cancellation);
 
   /// Refuses new root requests from now on. Nested calls are still accepted, as
-  /// they belong to requests in progress.
-  void Drain() { this->is_draining = true; }
+  /// they belong to requests in progress, if they are likely to have their
+  /// responses by `answers_end`.
+  void Drain(TimePoint answers_end) { this->answers_end = answers_end; }
 
   /// Sets the bounds for all requests from now on.
   void SetBounds(const MeshBounds& new_bounds);
@@ -99,6 +101,10 @@
   RefusalReason Admit(HttpRequest& request, Call& call);
   /// Records how an admitted call ended, for the admission of root requests.
   void RecordOutcome(const Call& call, const protocol::CallReply& reply);
+  /// Whether this node stops and no longer takes the call. A call that may be
+  /// repeated must fit into the time left by its latency objective and by the
+  /// longest recent call of its route, any other by its deadline.
+  bool IsTooLateToTake(const Call& call) const;
   void RefreshView();
   /// Sends the call to one target after another until it succeeds or may not be
   /// sent again.
@@ -160,7 +166,10 @@
   std::unordered_map<std::string, RetryBudget> leaf_retry_budgets;
   CallMetrics metrics;
   LogRateLimiter log_limiter;
-  bool is_draining = false;
+  /// Times of served calls, by route.
+  std::unordered_map<std::string, RecentMaximum> longest_calls;
+  /// Set while the node stops: the time at which requests in progress are cut.
+  std::optional<TimePoint> answers_end;
 };
 
 }  // namespace daisywinch
--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -327,7 +327,7 @@
   co_await serving_end.async_wait(Await(ignored));
   this->is_refusing = true;
   this->gate.Drain();
-  this->ingress.Drain();
+  this->ingress.Drain(deadline - HttpServer::kCancellationMargin);
   this->SendLocalUpdate();
   const auto is_gate_busy = [this] {
     return this->gate.CallsInProgress() > 0 ||
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -30,9 +30,6 @@
 /// Time in which the first request must begin to arrive on a connection that is
 /// new when the server shuts down.
 constexpr std::chrono::milliseconds kFirstRequestTime{200};
-/// Time before the deadline of a shutdown at which the requests in progress are
-/// cancelled.
-constexpr std::chrono::milliseconds kCancellationMargin{100};
 constexpr std::chrono::milliseconds kShutdownCheckInterval{10};
 
 /// The refusal reason for a request that could not be parsed; nothing if no
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -32,6 +32,10 @@
 /// All methods run on the thread of the context.
 class HttpServer {
  public:
+  /// Time before the deadline of a shutdown at which the requests in progress
+  /// are cancelled.
+  static constexpr std::chrono::milliseconds kCancellationMargin{100};
+
   /// Produces the response to one request. The cancellation fires when the
   /// caller closes the connection, and shortly before a shutdown ends. If the
   /// caller closed it before its request was read, the request is cancelled
--- a/tests/end_to_end/planned_stop_test.cc
+++ b/tests/end_to_end/planned_stop_test.cc
@@ -1,12 +1,14 @@
 // Stops nodes of a mesh fleet by signal while callers go on using their open
 // connections, with real processes. Each request that a node has read must get
 // a response.
+#include <atomic>
 #include <csignal>
 #include <map>
 #include <mutex>
 #include <random>
 #include <set>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
@@ -213,6 +215,97 @@
   BOOST_TEST(this->CheckAttempts(attempts) > 0);
 }
 
+// Nested calls were taken until the end of the grace period and then cut.
+BOOST_AUTO_TEST_CASE(requests_sent_at_any_time_of_a_stop_are_not_cut) {
+  // The local target is at work, and may make nested calls, long after the
+  // node has stopped taking root requests.
+  constexpr milliseconds kRootServiceTime{1800};
+  constexpr milliseconds kNestedServiceTime{1500};
+  constexpr milliseconds kInterval{50};
+  constexpr milliseconds kGrace{6000};
+  // A request that was sent by then may be cut in the last sixth of the grace
+  // period.
+  constexpr milliseconds kServingTime{3000};
+  this->SetServiceTime(kRootServiceTime);
+  this->fleet.SetTargetBehaviour(
+      this->Vm(2), "service_ms=" + std::to_string(kNestedServiceTime.count()));
+  // All root requests run at the target of the node that stops.
+  this->fleet.PublishTarget(this->Vm(1), true, 2);
+  MeshVm& vm = this->Vm(0);
+  std::mutex mutex;
+  std::vector<Attempt> attempts;
+  const auto send = [&](KeepAliveCaller& caller, const Call& call,
+                        const std::string& id) {
+    const Attempt attempt = caller.Send(id, call);
+    const std::lock_guard lock(mutex);
+    attempts.push_back(attempt);
+  };
+  const std::vector<std::pair<std::string, std::string>> kinds = {
+      {"GET", "/look/"},
+      {"POST", "/book/"},
+      {"GET", "/stock/"},
+      {"POST", "/reserve/"}};
+  const auto make_call = [&kinds](std::size_t kind) {
+    Call call;
+    call.method = kinds[kind].first;
+    call.path = kinds[kind].second + "1";
+    call.key = kind < 2 ? MeshFleet::kSchoolKey : "";
+    return call;
+  };
+  std::atomic<bool> is_stopping = false;
+  std::vector<std::thread> threads;
+  for (std::size_t kind = 0; kind < kinds.size(); ++kind) {
+    threads.emplace_back([&, kind] {
+      KeepAliveCaller caller(vm.caller_address);
+      for (int count = 0; !is_stopping; ++count) {
+        send(caller, make_call(kind),
+             "kept" + kinds[kind].second + std::to_string(count));
+        std::this_thread::sleep_for(milliseconds(5));
+      }
+    });
+  }
+  const TimePoint signalled = BootTime::now();
+  vm.node_process->Signal(SIGTERM);
+  for (int step = 0; step * kInterval < kGrace; ++step) {
+    threads.emplace_back([&, step] {
+      const std::size_t kind = step % kinds.size();
+      KeepAliveCaller caller(vm.caller_address);
+      send(caller, make_call(kind),
+           "new" + kinds[kind].second + std::to_string(step));
+    });
+    std::this_thread::sleep_for(kInterval);
+  }
+  this->CheckExit(vm);
+  is_stopping = true;
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  std::map<std::string, int> runs = this->CountRuns();
+  int answered = 0;
+  for (const Attempt& attempt : attempts) {
+    const bool has_run = runs[attempt.id] > 0;
+    const milliseconds sent_after =
+        std::chrono::duration_cast<milliseconds>(attempt.sent_at - signalled);
+    const bool may_be_cut = sent_after <= kServingTime &&
+                            sent_after + attempt.waited >= kGrace - kGrace / 6;
+    answered += attempt.status == 200 ? 1 : 0;
+    BOOST_TEST_MESSAGE(attempt.id << " sent after " << sent_after.count()
+                                  << " ms, ran " << has_run << ", got "
+                                  << attempt.status);
+    if (has_run && !may_be_cut) {
+      BOOST_TEST(attempt.status == 200,
+                 attempt.id << ", sent " << sent_after.count()
+                            << " ms after the signal, ran and got "
+                            << attempt.status);
+    }
+    if (!has_run && attempt.was_sent && attempt.status == 0) {
+      BOOST_TEST((attempt.waited <= kMaxCrossingTime),
+                 attempt.id << " got no response");
+    }
+  }
+  BOOST_TEST(answered > 0);
+}
+
 BOOST_AUTO_TEST_CASE(overlapping_restarts_lose_no_request) {
   for (const std::uint64_t seed : ChooseSeeds(kDefaultSeeds)) {
     BOOST_TEST_CONTEXT("seed " << seed) {
--- a/tests/support/keep_alive_caller.cc
+++ b/tests/support/keep_alive_caller.cc
@@ -15,12 +15,21 @@
 }  // namespace
 
 Attempt KeepAliveCaller::Send(const std::string& id, bool is_booking) {
+  Call call;
+  call.method = is_booking ? "POST" : "GET";
+  call.path = (is_booking ? "/book/" : "/look/") + id;
+  call.key = MeshFleet::kSchoolKey;
+  Attempt attempt = this->Send(id, call);
+  attempt.is_booking = is_booking;
+  return attempt;
+}
+
+Attempt KeepAliveCaller::Send(const std::string& id, const Call& call) {
   Attempt attempt;
   attempt.id = id;
-  attempt.is_booking = is_booking;
   bool is_done = false;
   asio::co_spawn(
-      this->context, this->Exchange(id, attempt),
+      this->context, this->Exchange(call, attempt),
       [&is_done](const std::exception_ptr& /*error*/) { is_done = true; });
   this->context.restart();
   this->context.run_for(this->timeout);
@@ -32,36 +41,33 @@
   return attempt;
 }
 
-Awaitable<> KeepAliveCaller::Exchange(const std::string& id, Attempt& attempt) {
+Awaitable<> KeepAliveCaller::Exchange(Call call, Attempt& attempt) {
   ErrorCode error;
   if (!this->socket.is_open()) {
     this->buffer.clear();
     co_await this->socket.async_connect(ToEndpoint(this->address),
                                         Await(error));
   }
-  Call call;
-  call.method = attempt.is_booking ? "POST" : "GET";
-  call.path = (attempt.is_booking ? "/book/" : "/look/") + id;
-  call.key = MeshFleet::kSchoolKey;
   const HttpRequest request =
-      MakeRequest(AddAttemptHeaders(call, id, kAttemptTimeout));
+      MakeRequest(AddAttemptHeaders(call, attempt.id, kAttemptTimeout));
   if (!error) {
     co_await http::async_write(this->socket, request, Await(error));
     attempt.was_sent = !error;
   }
-  const TimePoint sent_at = BootTime::now();
+  attempt.sent_at = BootTime::now();
   HttpResponse response;
   if (!error) {
     co_await http::async_read(this->socket, this->buffer, response,
                               Await(error));
-    attempt.waited = BootTime::now() - sent_at;
+    attempt.waited = BootTime::now() - attempt.sent_at;
   }
   if (!error) {
     attempt.status = response.result_int();
   }
   if (attempt.status == 200) {
-    attempt.has_own_response = response.body() == "ran " + call.path &&
-                               response["X-Daisywinch-Attempt-Id"] == id;
+    attempt.has_own_response =
+        response.body() == "ran " + call.path &&
+        response["X-Daisywinch-Attempt-Id"] == attempt.id;
   }
   if (error || !response.keep_alive()) {
     this->socket.close(error);
--- a/tests/support/keep_alive_caller.h
+++ b/tests/support/keep_alive_caller.h
@@ -5,6 +5,7 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include "support/http_caller.h"
 #include "transport/asio.h"
 
 namespace daisywinch::test {
@@ -18,6 +19,8 @@
   bool has_own_response = true;
   /// Whether the whole request was written.
   bool was_sent = false;
+  /// Time at which the request was written.
+  TimePoint sent_at;
   /// Time from the end of the request to the response or to the end of the
   /// connection.
   Duration waited = Duration::zero();
@@ -32,9 +35,11 @@
       : address(address), timeout(timeout) {}
 
   Attempt Send(const std::string& id, bool is_booking);
+  /// Sends a call of any other kind.
+  Attempt Send(const std::string& id, const Call& call);
 
  private:
-  Awaitable<> Exchange(const std::string& id, Attempt& attempt);
+  Awaitable<> Exchange(Call call, Attempt& attempt);
 
   Address address;
   Duration timeout;
--- a/tests/support/mesh_fleet.h
+++ b/tests/support/mesh_fleet.h
@@ -46,8 +46,8 @@
 ///
 /// The services are "front" and "back", the customers "school" and "clinic"
 /// with the keys "key-of-school" and "key-of-clinic". The routes are look
-/// (safe) and book (not repeatable) to "front", and stock (safe, open to all)
-/// to "back".
+/// (safe) and book (not repeatable) to "front", and stock (safe) and reserve
+/// (not repeatable), both open to all, to "back".
 class MeshFleet {
  public:
   MeshFleet();
