--- a/src/node/mesh_ingress.cc
+++ b/src/node/mesh_ingress.cc
@@ -29,9 +29,6 @@
 constexpr double kMaxSavedLeafRetries = 3;
 constexpr double kMaxSavedInnerRetries = 1;
 constexpr Duration kDefaultObjective = std::chrono::seconds(1);
-/// A call is expected to take no longer than the longest recent one of its
-/// route and this fraction of it, as a divisor, more.
-constexpr int kDurationMarginDivisor = 4;
 /// Retry delay while this node has no configuration.
 constexpr Duration kNotReadyRetryDelay = std::chrono::milliseconds(400);
 /// Retry delay while this node shuts down: the time until the process that
@@ -153,7 +150,7 @@
   const bool is_served = reply.outcome() == protocol::OUTCOME_ANSWERED &&
                          static_cast<int>(reply.status()) < kServerError;
   if (is_served) {
-    this->longest_calls[call.route->name].Record(now - call.started, now);
+    this->call_times[call.route->name].Record(now - call.started);
   }
   if (!call.is_root) {
     const RefusalReason reason = static_cast<RefusalReason>(reply.reason());
@@ -288,12 +285,11 @@
   }
   TimePoint expected_end = call.deadline;
   if (call.route->repeatable) {
-    const auto found = this->longest_calls.find(call.route->name);
-    const Duration longest = found == this->longest_calls.end()
-                                 ? Duration::zero()
-                                 : found->second.Get(call.started);
-    const Duration expected = std::max<Duration>(
-        ObjectiveOf(*call.route), longest + longest / kDurationMarginDivisor);
+    const auto found = this->call_times.find(call.route->name);
+    const Duration expected =
+        found == this->call_times.end()
+            ? ObjectiveOf(*call.route)
+            : found->second.UpperBound().value_or(ObjectiveOf(*call.route));
     expected_end = std::min(expected_end, call.started + expected);
   }
   return call.is_root || expected_end > *this->answers_end;
--- a/src/node/mesh_ingress.h
+++ b/src/node/mesh_ingress.h
@@ -17,12 +17,12 @@
 #include "node/call_sender.h"
 #include "platform/attempt_messages.h"
 #include "state/clock.h"
+#include "state/duration_estimate.h"
 #include "state/fatal_requests.h"
 #include "state/log_rate_limiter.h"
 #include "state/mesh_load_balancer.h"
 #include "state/mesh_settings.h"
 #include "state/mesh_view.h"
-#include "state/recent_maximum.h"
 #include "state/refusal.h"
 #include "state/retry_budget.h"
 #include "state/return_schedule.h"
@@ -102,8 +102,8 @@
   /// Records how an admitted call ended, for the admission of root requests.
   void RecordOutcome(const Call& call, const protocol::CallReply& reply);
   /// Whether this node stops and no longer takes the call. A call that may be
-  /// repeated must fit into the time left by its latency objective and by the
-  /// longest recent call of its route, any other by its deadline.
+  /// repeated must fit into the time left by the times of the served calls of
+  /// its route, any other by its deadline.
   bool IsTooLateToTake(const Call& call) const;
   void RefreshView();
   /// Sends the call to one target after another until it succeeds or may not be
@@ -167,7 +167,7 @@
   CallMetrics metrics;
   LogRateLimiter log_limiter;
   /// Times of served calls, by route.
-  std::unordered_map<std::string, RecentMaximum> longest_calls;
+  std::unordered_map<std::string, DurationEstimate> call_times;
   /// Set while the node stops: the time at which requests in progress are cut.
   std::optional<TimePoint> answers_end;
 };
--- a/tests/end_to_end/leaving_caller_test.cc
+++ b/tests/end_to_end/leaving_caller_test.cc
@@ -148,6 +148,7 @@
   constexpr int kCallerCount = 100;
   StopNode(this->front);
   std::vector<std::unique_ptr<LeavingCaller>> callers;
+  callers.reserve(kCallerCount);
   for (int caller = 0; caller < kCallerCount; ++caller) {
     callers.push_back(std::make_unique<LeavingCaller>(
         this->front, caller % 2 == 0 ? MakeLookCall() : MakeStockCall(),
@@ -211,6 +212,7 @@
   constexpr int kSlots = 19;
   this->SetServiceTime(this->back, milliseconds(300));
   std::vector<std::unique_ptr<LeavingCaller>> running;
+  running.reserve(kSlots);
   for (int count = 0; count < kSlots; ++count) {
     running.push_back(std::make_unique<LeavingCaller>(
         this->back, MakeStockCall(), "runs-" + std::to_string(count)));
@@ -274,6 +276,7 @@
   for (int round = 0; round < kRounds; ++round) {
     const std::string prefix = std::to_string(round) + "-";
     std::vector<std::unique_ptr<LeavingCaller>> callers;
+    callers.reserve(2 * kSlots);
     for (int count = 0; count < 2 * kSlots; ++count) {
       callers.push_back(std::make_unique<LeavingCaller>(
           this->back, MakeStockCall(), prefix + std::to_string(count)));
--- a/tests/transport/call_cancellation_test.cc
+++ b/tests/transport/call_cancellation_test.cc
@@ -166,7 +166,8 @@
       socket.native_non_blocking(true);
       const Tcp::endpoint endpoint = this->acceptor.local_endpoint();
       // Unlike connect() of the socket class, this doesn't wait.
-      ::connect(socket.native_handle(), endpoint.data(), endpoint.size());
+      [[maybe_unused]] const int result =
+          ::connect(socket.native_handle(), endpoint.data(), endpoint.size());
     }
   }
 
