Hold calls once per peer, and ask it once

From reading the diff: a peer that answers no pings would have had each of its calls held for 0.4 s, as nothing but a pong confirmed it, and a burst of calls that arrived after a silence caused a ping each. The end of the wait counts as a confirmation now.

Failed before: call_cancellation/calls_of_a_peer_that_confirms_nothing_are_started (5 pings instead of one, the sixth call not started in 0.15 s).

--- a/src/node/mesh_gate.cc
+++ b/src/node/mesh_gate.cc
@@ -555,9 +555,8 @@
       "daisywinch_target_leaving ";
   text += this->notices.IsLeaving() ? "1\n" : "0\n";
   text +=
-      "# HELP daisywinch_cancelled_calls_total Calls that were cancelled at "
-      "the "
-      "gate, by cause and state.\n"
+      "# HELP daisywinch_cancelled_calls_total Calls that were cancelled, by "
+      "cause and state.\n"
       "# TYPE daisywinch_cancelled_calls_total counter\n";
   for (const auto& [labels, count] : this->cancelled_calls) {
     text += "daisywinch_cancelled_calls_total{cause=\"" +
--- a/src/transport/call_server.cc
+++ b/src/transport/call_server.cc
@@ -182,7 +182,9 @@
       std::make_shared<Cancellation>();
   connection->calls[request.call_id()] = cancellation;
   ++this->calls_in_progress;
-  this->Confirm(connection, request.heard_at());
+  if (request.heard_at() != 0) {
+    this->Confirm(connection, request.heard_at());
+  }
   if (!IsUnconfirmed(*connection)) {
     this->StartCall(connection, std::move(request), cancellation);
     return;
@@ -241,6 +243,7 @@
       if (!connection->held_calls.empty() &&
           now - connection->held_calls.front().arrived_at >=
               kConfirmationTimeout) {
+        connection->confirmed_at = connection->stream->LastResumed();
         this->StartHeldCalls(connection);
       }
       const TimePoint last_received = connection->stream->LastReceived();
--- a/src/transport/call_server.h
+++ b/src/transport/call_server.h
@@ -65,11 +65,12 @@
     std::unordered_map<std::uint64_t, std::shared_ptr<Cancellation>> calls;
     std::vector<HeldCall> held_calls;
     /// The newest time at which this server sent bytes that the ingress has
-    /// received; what the ingress sent since then has arrived in time.
+    /// received, so that what it has sent since then was not held back.
     TimePoint confirmed_at;
     /// Time without received bytes while calls are in progress. Doesn't grow
     /// while this process stands still.
     Duration silence = Duration::zero();
+    /// Time of the last received bytes when `silence` was last reset.
     TimePoint silent_since;
     bool is_authenticated = false;
     /// Calls that arrive from now on are not handled.
--- a/tests/transport/call_cancellation_test.cc
+++ b/tests/transport/call_cancellation_test.cc
@@ -291,6 +291,42 @@
   BOOST_TEST(Reaches(this->ended_calls, 2, milliseconds(100)));
 }
 
+// Nodes of earlier versions answer no pings.
+BOOST_AUTO_TEST_CASE(calls_of_a_peer_that_confirms_nothing_are_started) {
+  constexpr milliseconds kMaxHoldTime{700};
+  constexpr int kCallCount = 5;
+  const std::shared_ptr<FrameStream> peer = std::make_shared<FrameStream>(
+      this->client_node.context, nullptr, kFrameLimit);
+  std::atomic<int> pings = 0;
+  std::atomic<int> sent_calls = 0;
+  const auto send_call = [&] {
+    protocol::CallFrame frame;
+    frame.mutable_request()->set_call_id(++sent_calls);
+    peer->Send(frame);
+  };
+  const auto exchange = [&]() -> Awaitable<> {
+    co_await peer->Connect(this->server_address, kContactTime);
+    for (int count = 0; count < kCallCount; ++count) {
+      send_call();
+    }
+    while (true) {
+      const std::optional<protocol::CallFrame> frame = co_await peer->Read();
+      if (!frame) {
+        co_return;
+      }
+      pings += frame->has_ping() ? 1 : 0;
+    }
+  };
+  asio::co_spawn(this->client_node.context, exchange(), asio::detached);
+  BOOST_TEST(Reaches(this->started_calls, kCallCount, kMaxHoldTime));
+  BOOST_TEST(pings == 1);
+  asio::post(this->client_node.context, send_call);
+  BOOST_TEST(Reaches(this->started_calls, kCallCount + 1, kArrivalTime));
+  asio::post(this->client_node.context, [&] { peer->Close(); });
+  BOOST_TEST(Reaches(this->cancelled_calls, kCallCount + 1, kArrivalTime));
+  this->client_node.Stop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(target_cancellation)
