--- a/review/5/driver.cc
+++ b/review/5/driver.cc
@@ -1,16 +1,16 @@
-// The store loses a few answers: those to two long polls for servers. The
-// connections of these polls return nothing further. Long after that, a server
-// reports that it drains.
+// The store gives two of six machines no response for 0.6 s, just after changes.
+// Long after that, a server reports that it drains.
 #include "../support/harness.h"
 
 using namespace review;
 
 namespace {
 
-// Length of the disruption and the part of the answers that are lost at most,
-// as in the site file: platform_lost, x = 0.35, for_s = 4.5.
-constexpr int kLossMs = 4500;
-constexpr double kMaxLostPart = 0.35;
+constexpr int kMachines = 6;
+// Machines that the store rejects: a share of 0.33 for 0.6 s. The site file has
+// platform_down, how = "nodes silent ...", share = 0.35, for_s = 9.0.
+constexpr int kRejectedMachines = 2;
+constexpr int kRejectMs = 600;
 // The store is stable when it has been calm for Contact (3 s).
 constexpr int kCalmMs = 3200;
 constexpr double kDrainSeconds = 2.0;
@@ -19,8 +19,8 @@
 constexpr int kWorkMs = 90;
 constexpr int kClientsPerMachine = 6;
 
-std::string Configuration() {
-  return "{\"Version\":\"00000007\",\"Routes\":{\"booking\":{"
+std::string Configuration(const std::string& version) {
+  return "{\"Version\":\"" + version + "\",\"Routes\":{\"booking\":{"
          "\"Host\":\"hulo84.example\",\"Prefix\":\"/booking/\","
          "\"Kind\":\"unsafe\",\"Timeout\":\"5000ms\","
          "\"TargetLatency\":\"2000ms\",\"Priority\":0,"
@@ -39,30 +39,31 @@
 
 int main(int argc, char** argv) {
   Setting setting(argc > 1 ? argv[1] : "review/5");
-  const Endpoint store_address = {setting.Ip(250), 8545};
   Store store;
-  if (!store.Start(store_address)) {
-    return kExitNotRun;
-  }
-  store.Put("op/config", Configuration());
+  store.Put("op/config", Configuration("00000007"));
 
   std::atomic<double> drain_acknowledged = 1e9;
   std::atomic<int> late = 0;
   std::atomic<double> last_late = 0;
   std::vector<Machine> machines;
   std::vector<std::unique_ptr<Server>> servers;
-  for (int number = 1; number <= 4; ++number) {
+  for (int number = 1; number <= kMachines; ++number) {
     Machine machine;
     machine.name = "sidecar-quito-a-" + std::to_string(number);
     machine.zone = "quito-a";
-    machine.service = number == 4 ? "etiquetas" : "recojos";
+    machine.service = number == kMachines ? "etiquetas" : "recojos";
     machine.ip = setting.Ip(number);
-    machine.store = store_address;
+    // An address of the store for each machine, as it can't be told from whom
+    // a connection on a loopback address comes.
+    machine.store = {setting.Ip(250), 8545 + number};
+    if (!store.Start(machine.store)) {
+      return kExitNotRun;
+    }
     machine.server_id = "i-7f3a91c" + std::to_string(number);
     machines.push_back(machine);
     servers.push_back(std::make_unique<Server>());
     Server& server = *servers.back();
-    const bool is_leaving_one = number == 3;
+    const bool is_leaving_one = number == kMachines - 1;
     const bool is_listening = server.Start(
         machine.App(), machine.server_id,
         [&, is_leaving_one](const Message& request, int handle) {
@@ -104,9 +105,9 @@
 
   std::atomic<bool> is_stopped = false;
   std::vector<std::thread> clients;
-  for (int number = 0; number < 3 * kClientsPerMachine; ++number) {
+  for (int number = 0; number < kMachines * kClientsPerMachine; ++number) {
     clients.emplace_back([&, number] {
-      const int handle = Connect(machines[number % 3].Outbound());
+      const int handle = Connect(machines[number % kMachines].Outbound());
       Reader reader(handle);
       int sequence = 0;
       while (!is_stopped) {
@@ -119,7 +120,7 @@
         ReadResult result = ReadResult::kComplete;
         const int status = SendAttempt(handle, reader, attempt, result);
         TheRecord().Line("%s at %s -> %d %s", attempt.id.c_str(),
-                         machines[number % 3].name.c_str(), status,
+                         machines[number % kMachines].name.c_str(), status,
                          ToText(result));
         if (status == 0) {
           return;
@@ -130,42 +131,29 @@
     });
   }
   SleepMs(1000);
-  const int answers_before = store.Answers();
-  const int lost_before = store.Lost();
-  TheRecord().Line("the store begins to lose answers");
-  const double loss_started = Seconds();
+  // A new configuration, and the server of another service becomes cold and
+  // reports it. The polls for servers are sent anew soon after that.
+  store.Put("op/config", Configuration("00000009"));
+  store.Put("servers/" + machines[kMachines - 1].server_id,
+            machines[kMachines - 1].ServerRecord("ready", 2, "600ms"));
+  SleepMs(100);
+  TheRecord().Line("the store begins to reject machines");
   if (setting.has_trouble) {
-    store.SetLossRule([&](const std::string& target) {
-      const bool is_server_watch =
-          target.rfind("/kv-watch", 0) == 0 &&
-          target.find("servers/") != std::string::npos;
-      return is_server_watch && Seconds() - loss_started > 3.75;
-    });
-  }
-  // The server of another service becomes cold and warm again, and reports
-  // both. The polls are sent anew after the first report, and the answers with
-  // the second one are lost.
-  SleepMs(3500);
-  store.Put("servers/" + machines[3].server_id,
-            machines[3].ServerRecord("ready", 2, "600ms"));
-  SleepMs(750);
-  store.Put("servers/" + machines[3].server_id,
-            machines[3].ServerRecord("ready", 3, "0ms"));
-  SleepMs(kLossMs - 4250);
-  store.SetLossRule(nullptr);
-  const int lost = store.Lost() - lost_before;
-  const int answers = store.Answers() - answers_before;
-  TheRecord().Line("the store loses no more answers; lost %d of %d", lost,
-                   answers);
-  if (lost > kMaxLostPart * answers) {
-    Finish(setting, node_list, kExitNotRun);
+    std::set<std::string> rejected;
+    for (int number = 0; number < kRejectedMachines; ++number) {
+      rejected.insert(machines[number].store.Text());
+    }
+    store.RejectCallsAt(rejected);
   }
+  SleepMs(kRejectMs);
+  store.RejectCallsAt({});
+  TheRecord().Line("the store serves all machines again");
   SleepMs(kCalmMs);
-  store.Put("servers/" + machines[2].server_id,
-            machines[2].ServerRecord("draining", 2));
+  store.Put("servers/" + machines[kMachines - 2].server_id,
+            machines[kMachines - 2].ServerRecord("draining", 2));
   drain_acknowledged = Seconds();
   TheRecord().Line("the store has acknowledged that %s drains",
-                   machines[2].server_id.c_str());
+                   machines[kMachines - 2].server_id.c_str());
   SleepMs(kServesMs);
   is_stopped = true;
   for (std::thread& client : clients) {
