--- a/review/1/driver.cc
+++ b/review/1/driver.cc
@@ -81,8 +81,7 @@
   std::vector<std::unique_ptr<Node>> nodes;
   std::vector<Node*> node_list;
   for (const Machine& machine : machines) {
-    nodes.push_back(
-        std::make_unique<Node>(machine, setting.temporary_folder));
+    nodes.push_back(std::make_unique<Node>(machine, setting.temporary_folder));
     nodes.back()->Start();
     node_list.push_back(nodes.back().get());
   }
@@ -116,11 +115,11 @@
         bool is_open = true;
         while (is_open && !is_stopped) {
           Attempt attempt;
-          attempt.id = "c" + std::to_string(number) + "-" +
-                       std::to_string(sequence++);
-          attempt.path =
-              "/r-" + std::to_string(static_cast<int>(random() % routes)) +
-              "/" + attempt.id;
+          attempt.id =
+              "c" + std::to_string(number) + "-" + std::to_string(sequence++);
+          attempt.path = "/r-" +
+                         std::to_string(static_cast<int>(random() % routes)) +
+                         "/" + attempt.id;
           attempt.timeout_ms = kDeadlineMs;
           const double sent_at = Seconds();
           ReadResult result = ReadResult::kComplete;
@@ -134,11 +133,10 @@
             unanswered += is_unanswered ? 1 : 0;
             late += is_late ? 1 : 0;
           }
-          TheRecord().Line("%s %s at %s -> %d %s after %.3f s%s",
-                           attempt.id.c_str(), attempt.path.c_str(),
-                           machines[number % 2].name.c_str(), status,
-                           ToText(result), took,
-                           counts && is_late ? ": LATE" : "");
+          TheRecord().Line(
+              "%s %s at %s -> %d %s after %.3f s%s", attempt.id.c_str(),
+              attempt.path.c_str(), machines[number % 2].name.c_str(), status,
+              ToText(result), took, counts && is_late ? ": LATE" : "");
           is_open = status != 0;
           SleepMs(kPauseMs);
         }
@@ -171,7 +169,8 @@
     client.join();
   }
   TheRecord().Line(
-      "answered 200: %d, otherwise: %d; unanswered at the timeout of the route: "
+      "answered 200: %d, otherwise: %d; unanswered at the timeout of the "
+      "route: "
       "%d, of these half a second later: %d",
       served.load(), other.load(), unanswered.load(), late.load());
   Finish(setting, node_list,
--- a/review/3/driver.cc
+++ b/review/3/driver.cc
@@ -47,8 +47,9 @@
   while (WriteAll(handle, chunk)) {
     written += kChunkBytes;
     std::this_thread::sleep_until(
-        started + std::chrono::duration_cast<Clock::duration>(
-                      std::chrono::duration<double>(written / kBytesPerSecond)));
+        started +
+        std::chrono::duration_cast<Clock::duration>(
+            std::chrono::duration<double>(written / kBytesPerSecond)));
   }
   TheRecord().Line("%s: the caller closed after %.0f MB",
                    request.Header("x-daisywinch-attempt-id").c_str(),
@@ -91,8 +92,8 @@
           {
             const std::lock_guard<std::mutex> lock(mutex);
             started[request.Header("x-daisywinch-attempt-id")] = server.id;
-            spoils = is_faulty && std::bernoulli_distribution(kSpoiledPart)(
-                                      random);
+            spoils =
+                is_faulty && std::bernoulli_distribution(kSpoiledPart)(random);
           }
           SleepMs(kWorkMs);
           if (spoils) {
@@ -112,8 +113,7 @@
   std::vector<std::unique_ptr<Node>> nodes;
   std::vector<Node*> node_list;
   for (const Machine& machine : machines) {
-    nodes.push_back(
-        std::make_unique<Node>(machine, setting.temporary_folder));
+    nodes.push_back(std::make_unique<Node>(machine, setting.temporary_folder));
     nodes.back()->Start();
     node_list.push_back(nodes.back().get());
   }
@@ -144,8 +144,8 @@
         bool is_open = true;
         while (is_open && !is_stopped) {
           Attempt attempt;
-          attempt.id = "c" + std::to_string(number) + "-" +
-                       std::to_string(sequence++);
+          attempt.id =
+              "c" + std::to_string(number) + "-" + std::to_string(sequence++);
           attempt.path = "/lookup/" + attempt.id;
           attempt.timeout_ms = kDeadlineMs;
           ReadResult result = ReadResult::kComplete;
--- a/review/4/driver.cc
+++ b/review/4/driver.cc
@@ -167,12 +167,11 @@
             }
             TheRecord().Line("%s: booking %s failed, a lookup failed",
                              server.id.c_str(), id.c_str());
-            return WriteAll(
-                handle,
-                "HTTP/1.1 500 Internal Server Error\r\n"
-                "X-Daisywinch-Attempt-Id: " +
-                    id + "\r\nX-Daisywinch-Response-Signature: " + server.id +
-                    ".1\r\nContent-Length: 0\r\n\r\n");
+            return WriteAll(handle,
+                            "HTTP/1.1 500 Internal Server Error\r\n"
+                            "X-Daisywinch-Attempt-Id: " +
+                                id + "\r\nX-Daisywinch-Response-Signature: " +
+                                server.id + ".1\r\nContent-Length: 0\r\n\r\n");
           }
           bool is_long = false;
           {
@@ -195,8 +194,7 @@
   std::vector<std::unique_ptr<Node>> nodes;
   std::vector<Node*> node_list;
   for (const Machine& machine : machines) {
-    nodes.push_back(
-        std::make_unique<Node>(machine, setting.temporary_folder));
+    nodes.push_back(std::make_unique<Node>(machine, setting.temporary_folder));
     nodes.back()->Start();
     node_list.push_back(nodes.back().get());
   }
@@ -235,8 +233,7 @@
     terminated_at = Seconds();
     nodes[0]->Signal(SIGTERM);
     TheRecord().Line("%s: SIGTERM", machines[0].name.c_str());
-    while (!nodes[0]->HasEnded() &&
-           Seconds() < terminated_at + kGraceSeconds) {
+    while (!nodes[0]->HasEnded() && Seconds() < terminated_at + kGraceSeconds) {
       SleepMs(5);
     }
     TheRecord().Line("%s: the node %s %.3f s after the SIGTERM",
--- a/review/5/driver.cc
+++ b/review/5/driver.cc
@@ -1,5 +1,5 @@
-// The store gives two of six machines no response for 0.6 s, just after changes.
-// Long after that, a server reports that it drains.
+// The store gives two of six machines no response for 0.6 s, just after
+// changes. Long after that, a server reports that it drains.
 #include "../support/harness.h"
 
 using namespace review;
@@ -20,7 +20,8 @@
 constexpr int kClientsPerMachine = 6;
 
 std::string Configuration(const std::string& version) {
-  return "{\"Version\":\"" + version + "\",\"Routes\":{\"booking\":{"
+  return "{\"Version\":\"" + version +
+         "\",\"Routes\":{\"booking\":{"
          "\"Host\":\"hulo84.example\",\"Prefix\":\"/booking/\","
          "\"Kind\":\"unsafe\",\"Timeout\":\"5000ms\","
          "\"TargetLatency\":\"2000ms\",\"Priority\":0,"
@@ -91,8 +92,7 @@
   std::vector<std::unique_ptr<Node>> nodes;
   std::vector<Node*> node_list;
   for (const Machine& machine : machines) {
-    nodes.push_back(
-        std::make_unique<Node>(machine, setting.temporary_folder));
+    nodes.push_back(std::make_unique<Node>(machine, setting.temporary_folder));
     nodes.back()->Start();
     node_list.push_back(nodes.back().get());
   }
@@ -113,8 +113,8 @@
       while (!is_stopped) {
         Attempt attempt;
         attempt.method = "POST";
-        attempt.id = "c" + std::to_string(number) + "-" +
-                     std::to_string(sequence++);
+        attempt.id =
+            "c" + std::to_string(number) + "-" + std::to_string(sequence++);
         attempt.path = "/booking/" + attempt.id;
         attempt.body = "pickup";
         ReadResult result = ReadResult::kComplete;
--- a/review/support/harness.h
+++ b/review/support/harness.h
@@ -88,7 +88,9 @@
 struct Endpoint {
   std::string ip;
   int port = 0;
-  std::string Text() const { return this->ip + ":" + std::to_string(this->port); }
+  std::string Text() const {
+    return this->ip + ":" + std::to_string(this->port);
+  }
 };
 
 inline sockaddr_in ToSocketAddress(const Endpoint& endpoint) {
@@ -192,10 +194,9 @@
         character = static_cast<char>(std::tolower(character));
       }
       const std::size_t value = line.find_first_not_of(' ', colon + 1);
-      message.headers[name] =
-          value == std::string::npos
-              ? ""
-              : line.substr(value, line.size() - 1 - value);
+      message.headers[name] = value == std::string::npos
+                                  ? ""
+                                  : line.substr(value, line.size() - 1 - value);
     }
     const std::size_t length =
         std::strtoull(message.Header("content-length").c_str(), nullptr, 10);
@@ -280,15 +281,15 @@
   while (at != std::string::npos) {
     const std::size_t start = at + 1;
     at = target.find('&', start);
-    const std::string pair = target.substr(
-        start, at == std::string::npos ? at : at - start);
+    const std::string pair =
+        target.substr(start, at == std::string::npos ? at : at - start);
     if (pair.rfind(name + "=", 0) == 0) {
       std::string value = pair.substr(name.size() + 1);
       std::size_t percent = 0;
       while ((percent = value.find('%', percent)) != std::string::npos) {
-        value.replace(percent, 3,
-                      1, static_cast<char>(std::strtol(
-                             value.substr(percent + 1, 2).c_str(), nullptr, 16)));
+        value.replace(percent, 3, 1,
+                      static_cast<char>(std::strtol(
+                          value.substr(percent + 1, 2).c_str(), nullptr, 16)));
         ++percent;
       }
       return value;
@@ -338,7 +339,8 @@
   bool Start(const Endpoint& endpoint) {
     this->acceptors.push_back(std::make_unique<Acceptor>());
     return this->acceptors.back()->Start(
-        endpoint, [this, endpoint](int handle) { this->Serve(handle, endpoint); });
+        endpoint,
+        [this, endpoint](int handle) { this->Serve(handle, endpoint); });
   }
   // From now on calls at the endpoints get no response, also not later: their
   // connections stay open and return nothing further.
@@ -353,6 +355,7 @@
   std::uint64_t Remove(const std::string& key) {
     return this->Apply({key, "", 0, true});
   }
+
  private:
   struct Change {
     std::string key;
@@ -410,8 +413,8 @@
         }
       }
       if (!events.empty() || Clock::now() >= deadline) {
-        return "{\"events\":[" + events + "],\"StoreRevision\":" +
-               std::to_string(this->revision) + "}";
+        return "{\"events\":[" + events +
+               "],\"StoreRevision\":" + std::to_string(this->revision) + "}";
       }
       this->changed.wait_until(lock, deadline);
     }
@@ -496,11 +499,13 @@
             {"Bounds.ColdOver", "1.5"}};
   }
   // The record that the server writes into the store.
-  std::string ServerRecord(const std::string& state, int sequence,
+  std::string ServerRecord(const std::string& state,
+                           int sequence,
                            const std::string& cold_left = "0ms") const {
-    return "{\"Address\":\"" + this->App().Text() + "\",\"born\":1764900000000,"
-           "\"Info\":{\"Service\":\"" + this->service +
-           "\",\"Version\":\"v1\",\"Zone\":\"" + this->zone +
+    return "{\"Address\":\"" + this->App().Text() +
+           "\",\"born\":1764900000000,"
+           "\"Info\":{\"Service\":\"" +
+           this->service + "\",\"Version\":\"v1\",\"Zone\":\"" + this->zone +
            "\",\"Slots\":108},\"Status\":{\"State\":\"" + state +
            "\",\"Seq\":" + std::to_string(sequence) + ",\"ColdLeft\":\"" +
            cold_left + "\"}}";
@@ -538,8 +543,8 @@
   void Start() {
     const std::string settings =
         this->folder + "/" + this->machine.name + ".conf";
-    std::ofstream(settings) << FillTemplate(ReadText("deploy/settings.json"),
-                                            this->machine);
+    std::ofstream(settings)
+        << FillTemplate(ReadText("deploy/settings.json"), this->machine);
     const std::string log = this->folder + "/" + this->machine.name + ".log";
     const std::string option = "--settings=" + settings;
     const pid_t child = ::fork();
@@ -591,9 +596,10 @@
     WriteAll(handle, "GET /ready HTTP/1.1\r\nHost: ready\r\n\r\n");
     Message answer;
     Reader reader(handle);
-    const bool is_ready = reader.Read(answer, Clock::now() + milliseconds(800)) ==
-                              ReadResult::kComplete &&
-                          answer.Status() == 200;
+    const bool is_ready =
+        reader.Read(answer, Clock::now() + milliseconds(800)) ==
+            ReadResult::kComplete &&
+        answer.Status() == 200;
     ::close(handle);
     return is_ready;
   }
@@ -689,8 +695,9 @@
   int timeout_ms = 5000;
 
   std::string Text() const {
-    std::string text = this->method + " " + this->path + " HTTP/1.1\r\nHost: " +
-                       this->host + "\r\nX-Daisywinch-Attempt-Id: " + this->id +
+    std::string text = this->method + " " + this->path +
+                       " HTTP/1.1\r\nHost: " + this->host +
+                       "\r\nX-Daisywinch-Attempt-Id: " + this->id +
                        "\r\nX-Daisywinch-Timeout-Budget-Ms: " +
                        std::to_string(this->timeout_ms) + "\r\n";
     if (!this->key.empty()) {
@@ -703,7 +710,8 @@
   }
 };
 
-inline std::string SignedAnswer(const Message& request, const std::string& body,
+inline std::string SignedAnswer(const Message& request,
+                                const std::string& body,
                                 const std::string& server_id) {
   return "HTTP/1.1 200 OK\r\nX-Daisywinch-Attempt-Id: " +
          request.Header("x-daisywinch-attempt-id") +
@@ -718,7 +726,8 @@
  public:
   using ServeFunction = std::function<bool(const Message& request, int handle)>;
 
-  bool Start(const Endpoint& endpoint, const std::string& new_id,
+  bool Start(const Endpoint& endpoint,
+             const std::string& new_id,
              ServeFunction new_serve) {
     this->id = new_id;
     this->serve = std::move(new_serve);
@@ -739,9 +748,9 @@
       const std::string expected =
           request.Header("x-daisywinch-expect-instance");
       if (request.Target() == "/health") {
-        is_open = WriteAll(handle,
-                           "HTTP/1.1 200 OK\r\nX-Daisywinch-Instance-Id: " +
-                               this->id + "\r\nContent-Length: 0\r\n\r\n");
+        is_open = WriteAll(
+            handle, "HTTP/1.1 200 OK\r\nX-Daisywinch-Instance-Id: " + this->id +
+                        "\r\nContent-Length: 0\r\n\r\n");
       } else if (!expected.empty() && expected != this->id) {
         is_open = WriteAll(
             handle,
@@ -761,15 +770,17 @@
 };
 
 // Reads and records; 0 if the connection ended without a complete answer.
-inline int SendAttempt(int handle, Reader& reader, const Attempt& attempt,
+inline int SendAttempt(int handle,
+                       Reader& reader,
+                       const Attempt& attempt,
                        ReadResult& result) {
   if (!WriteAll(handle, attempt.Text())) {
     result = ReadResult::kReset;
     return 0;
   }
   Message answer;
-  result = reader.Read(
-      answer, Clock::now() + milliseconds(attempt.timeout_ms + 1000));
+  result = reader.Read(answer,
+                       Clock::now() + milliseconds(attempt.timeout_ms + 1000));
   return result == ReadResult::kComplete ? answer.Status() : 0;
 }
 
@@ -802,7 +813,8 @@
 
 // Ends the run: kills the nodes and removes the temporary folder.
 [[noreturn]] inline void Finish(const Setting& setting,
-                                const std::vector<Node*>& nodes, int code) {
+                                const std::vector<Node*>& nodes,
+                                int code) {
   for (Node* node : nodes) {
     node->Kill();
   }
