Limit the memory for messages of a process

Cause: each message had a limit of its own, 64 MB, and nothing limited their sum. Beside it: the timer of a stream doesn't expire while bytes are always there, and an eager parser doesn't return from one read while small chunks keep arriving, so neither the deadline nor any limit was checked; copies of requests were kept for the whole call; buffers between nodes never shrank.

Messages under 256 KB are never broken off. ReadBody checks the deadline and the budget chunk by chunk. A response whose header can't belong to the request isn't read. Response headers may have 64 KB. New: event 1013, daisywinch_message_bytes.

With an eager parser, exchanges with small chunks went on past their deadline.

--- a/src/daisywinch/commands.cc
+++ b/src/daisywinch/commands.cc
@@ -23,6 +23,7 @@
 #include "state/configuration_generator.h"
 #include "state/event_log.h"
 #include "state/key_digest.h"
+#include "state/memory_budget.h"
 #include "state/mesh_settings.h"
 #include "state/object_reader.h"
 #include "state/settings.h"
@@ -124,6 +125,7 @@
   }
   InitializeEventLog(absl::GetFlag(FLAGS_verbose) ? Severity::kInformation
                                                   : Severity::kWarning);
+  MemoryBudget::ReturnFreedMemory();
   NodeType node(*settings, file);
   const int status = node.Run();
   FlushEventLog();
--- a/src/node/gate.cc
+++ b/src/node/gate.cc
@@ -34,14 +34,15 @@
            const Clock& clock,
            const Settings& settings,
            const SnapshotHolder& snapshots,
-           HandleTable& handles)
+           HandleTable& handles,
+           MemoryBudget& memory)
     : context(context),
       clock(clock),
       vm(settings.vm),
       service(settings.service),
       snapshots(snapshots),
       handles(handles),
-      target(context, settings.target_address, settings.body_limit),
+      target(context, settings.target_address, settings.body_limit, &memory),
       queue(this->shares),
       records(kMaxRecords, kMaxRecordBytes),
       ownership(settings.vm, clock.Now()) {}
@@ -305,6 +306,7 @@
     case TargetExchange::End::kWithdrawn:
     case TargetExchange::End::kCancelled:
     case TargetExchange::End::kResponseTooLarge:
+    case TargetExchange::End::kResponseInvalid:
       break;
   }
   this->LogColdStateChange();
--- a/src/node/gate.h
+++ b/src/node/gate.h
@@ -39,7 +39,8 @@
        const Clock& clock,
        const Settings& settings,
        const SnapshotHolder& snapshots,
-       HandleTable& handles);
+       HandleTable& handles,
+       MemoryBudget& memory);
 
   /// Handles a call from an ingress. The reply carries the load of the gate.
   Awaitable<protocol::CallReply> Handle(
--- a/src/node/gate_router.cc
+++ b/src/node/gate_router.cc
@@ -14,14 +14,16 @@
                        std::string local_vm,
                        std::size_t size_limit,
                        asio::io_context& gate_context,
-                       CallServer::Handler local_gate)
+                       CallServer::Handler local_gate,
+                       MemoryBudget* memory)
     : context(context),
       tls(tls),
       clock(clock),
       local_vm(std::move(local_vm)),
       size_limit(size_limit),
       gate_context(gate_context),
-      local_gate(std::move(local_gate)) {}
+      local_gate(std::move(local_gate)),
+      memory(memory) {}
 
 Awaitable<protocol::CallReply> GateRouter::Send(
     Vm vm,
@@ -36,7 +38,8 @@
       this->clients[vm.peer_address.ToString()];
   if (!client) {
     client = std::make_shared<CallClient>(this->context, this->tls, this->clock,
-                                          vm.peer_address, this->size_limit);
+                                          vm.peer_address, this->size_limit,
+                                          this->memory);
   }
   const std::shared_ptr<CallClient> call_client = client;
   co_return co_await call_client->Call(std::move(request), deadline,
--- a/src/node/gate_router.h
+++ b/src/node/gate_router.h
@@ -25,7 +25,8 @@
              std::string local_vm,
              std::size_t size_limit,
              asio::io_context& gate_context,
-             CallServer::Handler local_gate);
+             CallServer::Handler local_gate,
+             MemoryBudget* memory);
 
   Awaitable<protocol::CallReply> Send(
       Vm vm,
@@ -51,6 +52,7 @@
   std::size_t size_limit;
   asio::io_context& gate_context;
   CallServer::Handler local_gate;
+  MemoryBudget* memory;
   /// Clients by peer address, so that a VM with a new address gets a new
   /// connection.
   std::unordered_map<std::string, std::shared_ptr<CallClient>> clients;
--- a/src/node/mesh_gate.cc
+++ b/src/node/mesh_gate.cc
@@ -40,14 +40,15 @@
                    const MeshSettings& settings,
                    const MeshViewHolder& views,
                    RouteCostEstimator& cost_estimator,
-                   FatalRequests& fatal_requests)
+                   FatalRequests& fatal_requests,
+                   MemoryBudget& memory)
     : context(context),
       clock(clock),
       target_address(settings.target_address),
       views(views),
       cost_estimator(cost_estimator),
       fatal_requests(fatal_requests),
-      target(context, settings.target_address, kBodyLimit),
+      target(context, settings.target_address, kBodyLimit, &memory),
       health_timer(context),
       log_limiter(clock.Now()) {}
 
@@ -280,9 +281,14 @@
       this->local_target == nullptr ? "" : this->local_target->service,
       started);
   this->cost_estimator.RunStarted(route, started);
+  const auto accepts = [attempt_id = request.attempt_id()](
+                           const http::response_header<>& header) {
+    return platform::ClassifyResponse(header, attempt_id) !=
+           platform::ResponseClass::kInvalid;
+  };
   TargetExchange exchange = co_await this->target.Send(
       platform::MakeTargetRequest(request, deadline - started), deadline,
-      cancellation);
+      cancellation, accepts);
   const TimePoint ended = this->clock.Now();
   const bool was_known = this->cold_state.ColdUntil().has_value();
   protocol::CallReply reply = this->MakeReply(request, started, exchange);
@@ -330,6 +336,9 @@
       this->crash_detector.RecordLostResponse(request.digest(), sent_at, now);
       reply = MakeRefusedReply(RefusalReason::kResponseLost);
       break;
+    case TargetExchange::End::kResponseInvalid:
+      reply = MakeRefusedReply(RefusalReason::kResponseLost);
+      break;
     case TargetExchange::End::kResponseTooLarge:
       this->cold_state.RequestCheck();
       reply = MakeRefusedReply(RefusalReason::kResponseLost);
--- a/src/node/mesh_gate.h
+++ b/src/node/mesh_gate.h
@@ -44,7 +44,8 @@
            const MeshSettings& settings,
            const MeshViewHolder& views,
            RouteCostEstimator& cost_estimator,
-           FatalRequests& fatal_requests);
+           FatalRequests& fatal_requests,
+           MemoryBudget& memory);
 
   /// Starts health checks, which are sent while it is uncertain whether the
   /// target is cold, or whether what it last stated still holds.
--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -39,8 +39,9 @@
 /// requests are in progress; at most a quarter of that period.
 constexpr std::chrono::milliseconds kGraceMargin{300};
 
-HttpLimits CallerServerLimits() {
+HttpLimits CallerServerLimits(MemoryBudget& memory) {
   HttpLimits limits;
+  limits.memory = &memory;
   limits.body_bytes = kBodyLimit;
   return limits;
 }
@@ -69,18 +70,21 @@
            this->settings,
            this->views,
            this->cost_estimator,
-           this->fatal_requests),
-      router(this->traffic_context,
-             nullptr,
-             this->clock,
-             settings.ip,
-             kFrameLimit,
-             this->traffic_context,
-             [this](protocol::CallRequest request,
-                    std::shared_ptr<Cancellation> cancellation) {
-               return this->gate.Handle(std::move(request),
-                                        std::move(cancellation));
-             }),
+           this->fatal_requests,
+           this->memory),
+      router(
+          this->traffic_context,
+          nullptr,
+          this->clock,
+          settings.ip,
+          kFrameLimit,
+          this->traffic_context,
+          [this](protocol::CallRequest request,
+                 std::shared_ptr<Cancellation> cancellation) {
+            return this->gate.Handle(std::move(request),
+                                     std::move(cancellation));
+          },
+          &this->memory),
       ingress(this->traffic_context,
               this->clock,
               this->settings,
@@ -90,20 +94,22 @@
               this->fatal_requests,
               this->router),
       caller_server(this->traffic_context,
-                    CallerServerLimits(),
+                    CallerServerLimits(this->memory),
                     [this](HttpRequest request,
                            std::shared_ptr<Cancellation> cancellation) {
                       return this->ingress.Handle(std::move(request),
                                                   std::move(cancellation));
                     }),
-      call_server(this->traffic_context,
-                  nullptr,
-                  kFrameLimit,
-                  [this](protocol::CallRequest request,
-                         std::shared_ptr<Cancellation> cancellation) {
-                    return this->gate.Handle(std::move(request),
-                                             std::move(cancellation));
-                  }),
+      call_server(
+          this->traffic_context,
+          nullptr,
+          kFrameLimit,
+          [this](protocol::CallRequest request,
+                 std::shared_ptr<Cancellation> cancellation) {
+            return this->gate.Handle(std::move(request),
+                                     std::move(cancellation));
+          },
+          &this->memory),
       ready_server(this->control_context,
                    HttpLimits(),
                    [this](HttpRequest, std::shared_ptr<Cancellation>) {
@@ -215,7 +221,8 @@
     };
     std::string text = co_await asio::co_spawn(
         this->traffic_context, collect(*this), asio::use_awaitable);
-    text += this->control_delay.ToPrometheusText();
+    text += this->control_delay.ToPrometheusText() +
+            this->memory.ToPrometheusText();
     co_return MakeTextResponse(http::status::ok, std::move(text));
   }
   if (request.target() == "/status") {
--- a/src/node/mesh_node.h
+++ b/src/node/mesh_node.h
@@ -15,6 +15,7 @@
 #include "node/store_watcher.h"
 #include "node/update_exchange.h"
 #include "state/loop_delay.h"
+#include "state/memory_budget.h"
 #include "state/mesh_settings.h"
 #include "state/mesh_view.h"
 #include "transport/call_server.h"
@@ -62,6 +63,7 @@
 
   MeshSettings settings;
   SystemClock clock;
+  MemoryBudget memory{MemoryBudget::DefaultLimit()};
   std::uint64_t incarnation;
   asio::io_context control_context{1};
   asio::io_context traffic_context{1};
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -23,8 +23,9 @@
 constexpr char kVmListValue[] = "vms";
 constexpr std::string_view kPlatformSource = "platform";
 
-HttpLimits CallerLimits(const Settings& settings) {
+HttpLimits CallerLimits(const Settings& settings, MemoryBudget& memory) {
   HttpLimits limits;
+  limits.memory = &memory;
   limits.body_bytes = settings.body_limit;
   return limits;
 }
@@ -74,18 +75,21 @@
            this->clock,
            this->settings,
            this->snapshots,
-           this->handles),
-      router(this->ingress_context,
-             &this->ingress_tls,
-             this->clock,
-             settings.vm,
-             settings.body_limit + kFrameOverheadBytes,
-             this->gate_context,
-             [this](protocol::CallRequest request,
-                    std::shared_ptr<Cancellation> cancellation) {
-               return this->gate.Handle(std::move(request),
-                                        std::move(cancellation));
-             }),
+           this->handles,
+           this->memory),
+      router(
+          this->ingress_context,
+          &this->ingress_tls,
+          this->clock,
+          settings.vm,
+          settings.body_limit + kFrameOverheadBytes,
+          this->gate_context,
+          [this](protocol::CallRequest request,
+                 std::shared_ptr<Cancellation> cancellation) {
+            return this->gate.Handle(std::move(request),
+                                     std::move(cancellation));
+          },
+          &this->memory),
       ingress(this->ingress_context,
               this->clock,
               this->settings,
@@ -95,20 +99,22 @@
               this->rate_limiter,
               this->router),
       caller_server(this->ingress_context,
-                    CallerLimits(settings),
+                    CallerLimits(settings, this->memory),
                     [this](HttpRequest request,
                            std::shared_ptr<Cancellation> cancellation) {
                       return this->ingress.Handle(std::move(request),
                                                   std::move(cancellation));
                     }),
-      call_server(this->gate_context,
-                  &this->gate_tls,
-                  settings.body_limit + kFrameOverheadBytes,
-                  [this](protocol::CallRequest request,
-                         std::shared_ptr<Cancellation> cancellation) {
-                    return this->gate.Handle(std::move(request),
-                                             std::move(cancellation));
-                  }),
+      call_server(
+          this->gate_context,
+          &this->gate_tls,
+          settings.body_limit + kFrameOverheadBytes,
+          [this](protocol::CallRequest request,
+                 std::shared_ptr<Cancellation> cancellation) {
+            return this->gate.Handle(std::move(request),
+                                     std::move(cancellation));
+          },
+          &this->memory),
       operator_service(this->settings,
                        this->incarnation,
                        this->fleet_view,
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -19,6 +19,7 @@
 #include "node/rate_limiter.h"
 #include "node/settings_watcher.h"
 #include "state/clock.h"
+#include "state/memory_budget.h"
 #include "state/settings.h"
 #include "transport/call_server.h"
 #include "transport/http_server.h"
@@ -48,6 +49,7 @@
 
   Settings settings;
   SystemClock clock;
+  MemoryBudget memory{MemoryBudget::DefaultLimit()};
   std::uint64_t incarnation;
   SnapshotHolder snapshots;
   HandleTable handles;
--- a/src/node/target_messages.cc
+++ b/src/node/target_messages.cc
@@ -71,6 +71,7 @@
     case TargetExchange::End::kWithdrawn:
       return MakeRefusedReply(RefusalReason::kCancelledUnsent);
     case TargetExchange::End::kResponseLost:
+    case TargetExchange::End::kResponseInvalid:
       return MakeRefusedReply(RefusalReason::kResponseLost);
     case TargetExchange::End::kDeadlinePassed:
       return MakeRefusedReply(RefusalReason::kDeadlinePassed);
--- a/src/platform/attempt_messages.cc
+++ b/src/platform/attempt_messages.cc
@@ -114,8 +114,7 @@
   message.set_body(std::move(request.body()));
 }
 
-HttpRequest MakeTargetRequest(const protocol::CallRequest& call,
-                              Duration remaining) {
+HttpRequest MakeTargetRequest(protocol::CallRequest& call, Duration remaining) {
   HttpRequest request;
   request.version(11);
   request.method_string(call.method());
@@ -133,12 +132,12 @@
     request.set(kTenantId, call.customer());
   }
   request.keep_alive(true);
-  request.body() = call.body();
+  request.body() = std::move(*call.mutable_body());
   request.prepare_payload();
   return request;
 }
 
-ResponseClass ClassifyResponse(const HttpResponse& response,
+ResponseClass ClassifyResponse(const http::response_header<>& response,
                                const std::string& attempt_id) {
   if (response[kAttemptId] != attempt_id) {
     return ResponseClass::kInvalid;
--- a/src/platform/attempt_messages.h
+++ b/src/platform/attempt_messages.h
@@ -30,8 +30,7 @@
 
 /// Makes the request for a target. `remaining` is the time until the deadline;
 /// the timeout header is at least 1 ms.
-HttpRequest MakeTargetRequest(const protocol::CallRequest& call,
-                              Duration remaining);
+HttpRequest MakeTargetRequest(protocol::CallRequest& call, Duration remaining);
 
 /// What a target's response says about the execution of the request.
 enum class ResponseClass {
@@ -47,7 +46,7 @@
   kInvalid,
 };
 
-ResponseClass ClassifyResponse(const HttpResponse& response,
+ResponseClass ClassifyResponse(const http::response_header<>& response,
                                const std::string& attempt_id);
 
 /// Reads what a target states about itself in any of its responses. Returns
--- a/src/protocol/frame_codec.cc
+++ b/src/protocol/frame_codec.cc
@@ -6,6 +6,13 @@
 
 namespace daisywinch {
 
+namespace {
+
+/// Capacity in bytes above which an empty buffer is released.
+constexpr std::size_t kMaxKeptCapacity = std::size_t{256} * 1024;
+
+}  // namespace
+
 std::string EncodeFrame(const protocol::CallFrame& frame) {
   std::string bytes(kFrameHeaderSize, '\0');
   frame.AppendToString(&bytes);
@@ -18,8 +25,8 @@
 FrameDecoder::FrameDecoder(std::size_t size_limit) : size_limit(size_limit) {}
 
 void FrameDecoder::Append(std::string_view bytes) {
-  if (this->consumed == this->buffer.size()) {
-    this->buffer.clear();
+  if (2 * this->consumed >= this->buffer.size()) {
+    this->buffer.erase(0, this->consumed);
     this->consumed = 0;
   }
   this->buffer.append(bytes);
@@ -40,6 +47,7 @@
     return std::nullopt;
   }
   if (available < kFrameHeaderSize + size) {
+    this->buffer.reserve(this->consumed + kFrameHeaderSize + size);
     return std::nullopt;
   }
   protocol::CallFrame frame;
@@ -49,6 +57,11 @@
     return std::nullopt;
   }
   this->consumed += kFrameHeaderSize + size;
+  if (this->consumed == this->buffer.size() &&
+      this->buffer.capacity() > kMaxKeptCapacity) {
+    this->buffer = std::string();
+    this->consumed = 0;
+  }
   return frame;
 }
 
--- a/src/protocol/frame_codec.h
+++ b/src/protocol/frame_codec.h
@@ -31,6 +31,8 @@
   std::optional<protocol::CallFrame> Next();
 
   const std::string& LastError() const { return this->last_error; }
+  /// Bytes of memory held for received bytes and the message that they begin.
+  std::size_t HeldBytes() const { return this->buffer.capacity(); }
 
  private:
   std::size_t size_limit;
--- a/src/state/event_log.cc
+++ b/src/state/event_log.cc
@@ -70,6 +70,9 @@
     EventDescription{EventId::kLoopDelayed, kWarning, "loop-delayed",
                      "An event loop of the node handled nothing for a while; "
                      "what arrived meanwhile was read late."},
+    EventDescription{EventId::kMessageBrokenOff, kWarning, "message-broken-off",
+                     "The messages that the node holds exceed their memory; "
+                     "the largest one that was being read is given up."},
     EventDescription{EventId::kConfigurationInForce, kInformation,
                      "configuration-in-force",
                      "A new configuration was applied."},
--- a/src/state/event_log.h
+++ b/src/state/event_log.h
@@ -26,6 +26,7 @@
   kSettingsRefused = 1010,
   kSettingsNeedRestart = 1011,
   kLoopDelayed = 1012,
+  kMessageBrokenOff = 1013,
   kConfigurationInForce = 2001,
   kConfigurationRefused = 2002,
   kVmListInForce = 2003,
--- a/src/state/refusal.cc
+++ b/src/state/refusal.cc
@@ -45,6 +45,8 @@
             "The target could not be reached"},
     Refusal{RefusalReason::kCancelledUnsent, 503, kNotRun, true,
             "The request was cancelled before it was sent to the target"},
+    Refusal{RefusalReason::kNoMemory, 503, kNotRun, true,
+            "The node has no memory for the request"},
     Refusal{RefusalReason::kResponseLost, 502, kUnknown, false,
             "The answer was lost"},
     Refusal{RefusalReason::kDeadlinePassed, 504, kUnknown, false,
--- a/src/state/refusal.h
+++ b/src/state/refusal.h
@@ -28,6 +28,7 @@
   kShedByIngress = 206,
   kTargetUnreachable = 207,
   kCancelledUnsent = 208,
+  kNoMemory = 209,
   kResponseLost = 301,
   kDeadlinePassed = 302,
   kDuplicateOutcomeUnknown = 303,
--- a/src/transport/call_client.cc
+++ b/src/transport/call_client.cc
@@ -38,12 +38,14 @@
                        asio::ssl::context* tls,
                        const Clock& clock,
                        const Address& address,
-                       std::size_t size_limit)
+                       std::size_t size_limit,
+                       MemoryBudget* memory)
     : context(context),
       tls(tls),
       clock(clock),
       address(address),
-      size_limit(size_limit) {}
+      size_limit(size_limit),
+      memory(memory) {}
 
 Awaitable<protocol::CallReply> CallClient::Call(
     protocol::CallRequest request,
@@ -78,12 +80,15 @@
   this->pending[call_id] = call;
   call->connection = connection;
   call->started = this->clock.Now();
-  protocol::CallFrame frame;
-  *frame.mutable_request() = std::move(request);
-  connection->Send(frame, [call] {
-    call->sent = !call->withdrawn;
-    return call->sent;
-  });
+  {
+    // Ends before the wait, so that the request isn't held meanwhile.
+    protocol::CallFrame frame;
+    *frame.mutable_request() = std::move(request);
+    connection->Send(frame, [call] {
+      call->sent = !call->withdrawn;
+      return call->sent;
+    });
+  }
 
   call->completion_timer.expires_at(deadline);
   if (!call->done) {
@@ -187,8 +192,8 @@
 }
 
 Awaitable<> CallClient::Connect(std::shared_ptr<CallClient> self) {
-  const std::shared_ptr<FrameStream> connection =
-      std::make_shared<FrameStream>(this->context, this->tls, this->size_limit);
+  const std::shared_ptr<FrameStream> connection = std::make_shared<FrameStream>(
+      this->context, this->tls, this->size_limit, this->memory);
   const bool connected =
       co_await connection->Connect(this->address, kConnectTimeout);
   if (connected) {
--- a/src/transport/call_client.h
+++ b/src/transport/call_client.h
@@ -29,7 +29,8 @@
              asio::ssl::context* tls,
              const Clock& clock,
              const Address& address,
-             std::size_t size_limit);
+             std::size_t size_limit,
+             MemoryBudget* memory = nullptr);
 
   /// Sends the request and waits for its reply until the deadline.
   ///
@@ -93,6 +94,7 @@
   const Clock& clock;
   Address address;
   std::size_t size_limit;
+  MemoryBudget* memory;
   std::shared_ptr<FrameStream> stream;
   /// The newest time in a pong on this connection that no call has returned
   /// yet; 0 if there is none.
--- a/src/transport/call_server.cc
+++ b/src/transport/call_server.cc
@@ -41,11 +41,13 @@
 CallServer::CallServer(asio::io_context& context,
                        asio::ssl::context* tls,
                        std::size_t size_limit,
-                       Handler handler)
+                       Handler handler,
+                       MemoryBudget* memory)
     : context(context),
       tls(tls),
       size_limit(size_limit),
       handler(std::move(handler)),
+      memory(memory),
       acceptor(context),
       monitor_timer(context) {}
 
@@ -113,7 +115,7 @@
     const std::shared_ptr<Connection> connection =
         std::make_shared<Connection>();
     connection->stream = std::make_shared<FrameStream>(
-        std::move(socket), this->tls, this->size_limit);
+        std::move(socket), this->tls, this->size_limit, this->memory);
     asio::co_spawn(this->context, this->Serve(connection), asio::detached);
   }
   return error == asio::error::would_block ||
@@ -271,6 +273,9 @@
                                    protocol::CallRequest request,
                                    std::shared_ptr<Cancellation> cancellation) {
   const std::uint64_t call_id = request.call_id();
+  const std::shared_ptr<MemoryBudget::Holder> holder =
+      std::make_shared<MemoryBudget::Holder>(this->memory, "call", nullptr);
+  holder->Resize(request.body().size());
   protocol::CallFrame frame;
   if (cancellation->IsCancelled()) {
     *frame.mutable_reply() = MakeRefusedReply(RefusalReason::kCancelledUnsent);
@@ -280,8 +285,9 @@
   }
   frame.mutable_reply()->set_call_id(call_id);
   connection->calls.erase(call_id);
+  holder->Resize(frame.reply().body().size());
   connection->stream->Send(frame, nullptr,
-                           [this] { --this->calls_in_progress; });
+                           [this, holder] { --this->calls_in_progress; });
   this->EndIfIdle(*connection);
 }
 
--- a/src/transport/call_server.h
+++ b/src/transport/call_server.h
@@ -25,10 +25,12 @@
       protocol::CallRequest,
       std::shared_ptr<Cancellation>)>;
 
+  /// `memory` counts the bytes of calls and replies; null means no limit.
   CallServer(asio::io_context& context,
              asio::ssl::context* tls,
              std::size_t size_limit,
-             Handler handler);
+             Handler handler,
+             MemoryBudget* memory = nullptr);
 
   /// Starts to listen; returns the error if the address cannot be bound.
   ErrorCode Listen(const Address& address);
@@ -111,6 +113,7 @@
   asio::ssl::context* tls;
   std::size_t size_limit;
   Handler handler;
+  MemoryBudget* memory;
   Tcp::acceptor acceptor;
   std::list<std::shared_ptr<Connection>> connections;
   /// Runs between two checks of the peers.
--- a/src/transport/frame_stream.cc
+++ b/src/transport/frame_stream.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include "state/duration.h"
@@ -26,16 +27,19 @@
 
 FrameStream::FrameStream(asio::io_context& context,
                          asio::ssl::context* tls,
-                         std::size_t size_limit)
-    : FrameStream(Tcp::socket(context), tls, size_limit) {}
+                         std::size_t size_limit,
+                         MemoryBudget* memory)
+    : FrameStream(Tcp::socket(context), tls, size_limit, memory) {}
 
 FrameStream::FrameStream(Tcp::socket socket,
                          asio::ssl::context* tls,
-                         std::size_t size_limit)
+                         std::size_t size_limit,
+                         MemoryBudget* memory)
     : socket(std::move(socket)),
       last_received(BootTime::now()),
       last_resumed(this->last_received),
-      decoder(size_limit) {
+      decoder(size_limit),
+      memory(memory) {
   if (tls != nullptr) {
     this->tls_stream = std::make_unique<TlsStream>(this->socket, *tls);
   }
@@ -92,8 +96,17 @@
 }
 
 Awaitable<std::optional<protocol::CallFrame>> FrameStream::Read() {
+  MemoryBudget::Holder holder(
+      this->memory, "peer", [weak = this->weak_from_this(), this] {
+        asio::post(this->socket.get_executor(), [weak] {
+          if (const std::shared_ptr<FrameStream> self = weak.lock()) {
+            self->Close();
+          }
+        });
+      });
   while (!this->closed) {
     std::optional<protocol::CallFrame> frame = this->decoder.Next();
+    holder.Resize(this->decoder.HeldBytes());
     if (frame) {
       co_return frame;
     }
@@ -170,10 +183,11 @@
 Awaitable<> FrameStream::WriteQueue(std::shared_ptr<FrameStream> self) {
   while (!this->queue.empty() && !this->closed) {
     std::string bytes;
-    const std::deque<QueuedFrame> frames = std::exchange(this->queue, {});
-    for (const QueuedFrame& frame : frames) {
+    std::deque<QueuedFrame> frames = std::exchange(this->queue, {});
+    for (QueuedFrame& frame : frames) {
+      const std::string frame_bytes = std::move(frame.bytes);
       if (!frame.should_send || frame.should_send()) {
-        bytes += frame.bytes;
+        bytes += frame_bytes;
       }
     }
     ErrorCode error;
--- a/src/transport/frame_stream.h
+++ b/src/transport/frame_stream.h
@@ -11,6 +11,7 @@
 #include <boost/asio/ssl/stream.hpp>
 
 #include "protocol/frame_codec.h"
+#include "state/memory_budget.h"
 #include "transport/asio.h"
 
 namespace daisywinch {
@@ -25,13 +26,17 @@
   using TlsStream = asio::ssl::stream<Tcp::socket&>;
 
   /// `tls` is null for an unencrypted connection. `size_limit` is the maximum
-  /// size of a received message in bytes.
+  /// size of a received message in bytes. `memory` counts the bytes of a
+  /// message that is being received; null means no limit. If it is exceeded,
+  /// the connection with the largest one is closed.
   FrameStream(asio::io_context& context,
               asio::ssl::context* tls,
-              std::size_t size_limit);
+              std::size_t size_limit,
+              MemoryBudget* memory = nullptr);
   FrameStream(Tcp::socket socket,
               asio::ssl::context* tls,
-              std::size_t size_limit);
+              std::size_t size_limit,
+              MemoryBudget* memory = nullptr);
 
   /// Connects and performs the TLS handshake as the client. Returns false on
   /// failure. The timeout applies to each of the two steps.
@@ -92,6 +97,7 @@
   TimePoint last_received;
   TimePoint last_resumed;
   FrameDecoder decoder;
+  MemoryBudget* memory;
   std::deque<QueuedFrame> queue;
   std::array<char, 16 * 1024> read_buffer = {};
   bool writing = false;
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -1,6 +1,8 @@
 #ifndef DAISYWINCH_TRANSPORT_HTTP_H
 #define DAISYWINCH_TRANSPORT_HTTP_H
 
+#include <cstddef>
+
 #include <boost/beast/http.hpp>
 
 #include "state/refusal.h"
@@ -12,6 +14,9 @@
 using HttpRequest = http::request<http::string_body>;
 using HttpResponse = http::response<http::string_body>;
 
+/// Maximum number of bytes of a connection that are read but not parsed yet.
+constexpr std::size_t kMaxBufferedBytes = 256 * 1024;
+
 /// Names of the header fields that daisywinch defines or interprets.
 constexpr char kOutcomeHeader[] = "Daisywinch-Outcome";
 constexpr char kReasonHeader[] = "Daisywinch-Reason";
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -1,7 +1,5 @@
 #include "transport/http_server.h"
 
-#include "transport/listen.h"
-
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -11,10 +9,14 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include "transport/body_reader.h"
+#include "transport/listen.h"
+
 namespace daisywinch {
 
 namespace {
@@ -23,6 +25,8 @@
 /// Maximum number of buffered bytes that follow a request in progress. The end
 /// of a connection behind more bytes is noticed after the response.
 constexpr std::size_t kMaxReadAhead = 64 * 1024;
+/// A second copy of a request exists while it is sent to a target.
+constexpr std::size_t kRequestCopies = 2;
 constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
 /// Maximum time for which a connection that this server closes is kept for the
 /// caller to read the response.
@@ -81,7 +85,7 @@
   }
 
   boost::beast::tcp_stream stream;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kMaxBufferedBytes};
   /// The caller has closed the connection and waits for no response.
   bool has_ended = false;
   State state = State::kFirstRequest;
@@ -193,10 +197,14 @@
   bool keep_alive = true;
   while (keep_alive && !connection->has_ended) {
     HttpRequest request;
+    MemoryBudget::Holder memory(this->limits.memory, "request", [connection] {
+      asio::post(connection->stream.get_executor(),
+                 [connection] { connection->stream.cancel(); });
+    });
     const bool has_request = co_await this->WaitForRequest(*connection);
     connection->state = Connection::State::kInRequest;
     const bool was_read =
-        has_request && co_await this->Read(*connection, request);
+        has_request && co_await this->Read(*connection, request, memory);
     if (!was_read) {
       break;
     }
@@ -217,6 +225,7 @@
     connection->stream.socket().cancel(ignored);
     keep_alive = keep_alive && !this->is_closing_announced;
     response.keep_alive(keep_alive);
+    memory.Resize(response.body().capacity());
     const bool was_written =
         co_await this->Write(*connection, std::move(response));
     keep_alive = keep_alive && was_written;
@@ -243,19 +252,29 @@
       (error == asio::error::operation_aborted && connection.HasUnreadBytes());
 }
 
-Awaitable<bool> HttpServer::Read(Connection& connection, HttpRequest& request) {
+Awaitable<bool> HttpServer::Read(Connection& connection,
+                                 HttpRequest& request,
+                                 MemoryBudget::Holder& memory) {
   ErrorCode error;
   http::request_parser<http::string_body> parser;
   parser.header_limit(this->limits.header_bytes);
   parser.body_limit(this->limits.body_bytes);
+  const TimePoint deadline = BootTime::now() + this->limits.transfer_timeout;
   connection.stream.expires_after(this->limits.transfer_timeout);
-  co_await http::async_read(connection.stream, connection.buffer, parser,
-                            Await(error));
+  co_await http::async_read_header(connection.stream, connection.buffer, parser,
+                                   Await(error));
   if (!error) {
+    co_await ReadBody(connection.stream, connection.buffer, parser, deadline,
+                      kRequestCopies, memory, error);
+  }
+  memory.Keep();
+  if (!error && !memory.IsBrokenOff()) {
     request = parser.release();
     co_return true;
   }
-  const std::optional<RefusalReason> reason = ReasonFor(error);
+  const std::optional<RefusalReason> reason =
+      memory.IsBrokenOff() ? RefusalReason::kNoMemory : ReasonFor(error);
+  parser.get().body() = std::string();
   if (reason) {
     HttpResponse problem = MakeProblem(Describe(*reason));
     problem.keep_alive(false);
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <memory>
 
+#include "state/memory_budget.h"
 #include "transport/asio.h"
 #include "transport/cancellation.h"
 #include "transport/http.h"
@@ -21,6 +22,8 @@
   Duration idle_timeout = std::chrono::seconds(60);
   /// Timeout for reading a whole request, and for writing a response.
   Duration transfer_timeout = std::chrono::seconds(10);
+  /// Counts the requests and responses; null means no limit.
+  MemoryBudget* memory = nullptr;
 };
 
 /// HTTP/1.1 server on one address that handles each request in a coroutine.
@@ -84,7 +87,9 @@
   Awaitable<bool> WaitForRequest(Connection& connection);
   /// Reads one request. Returns false if the connection must be closed; a
   /// refusal has then been sent where the error allows it.
-  Awaitable<bool> Read(Connection& connection, HttpRequest& request);
+  Awaitable<bool> Read(Connection& connection,
+                       HttpRequest& request,
+                       MemoryBudget::Holder& memory);
   Awaitable<bool> Write(Connection& connection, HttpResponse response);
   /// Ends the sent bytes and waits for the caller to close the connection.
   /// Closing it while received bytes are unread would reset it, and the caller
--- a/src/transport/target_client.cc
+++ b/src/transport/target_client.cc
@@ -8,8 +8,11 @@
 #include <string_view>
 #include <utility>
 
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/error.hpp>
 
+#include "transport/body_reader.h"
+
 namespace daisywinch {
 
 namespace {
@@ -62,13 +65,18 @@
 
 TargetClient::TargetClient(asio::io_context& context,
                            const Address& address,
-                           std::uint64_t body_limit)
-    : context(context), address(address), body_limit(body_limit) {}
+                           std::uint64_t body_limit,
+                           MemoryBudget* memory)
+    : context(context),
+      address(address),
+      body_limit(body_limit),
+      memory(memory) {}
 
 Awaitable<TargetExchange> TargetClient::Send(
     HttpRequest request,
     TimePoint deadline,
-    std::shared_ptr<Cancellation> cancellation) {
+    std::shared_ptr<Cancellation> cancellation,
+    HeaderCheck accepts) {
   TargetExchange exchange;
   std::shared_ptr<Connection> connection = this->TakeIdleConnection(exchange);
   const bool is_new = connection == nullptr;
@@ -92,8 +100,8 @@
     exchange.end = End::kWithdrawn;
   } else if (!error) {
     connection->stream.socket().set_option(Tcp::no_delay(true), error);
-    co_await this->Transfer(connection, cancellation, std::move(request),
-                            exchange);
+    co_await this->Transfer(connection, deadline, cancellation,
+                            std::move(request), accepts, exchange);
   }
   // A connection with bytes after the response is not reused, because they
   // belong to no request.
@@ -114,8 +122,10 @@
 }
 
 Awaitable<> TargetClient::Transfer(std::shared_ptr<Connection> connection,
+                                   TimePoint deadline,
                                    std::shared_ptr<Cancellation> cancellation,
                                    HttpRequest request,
+                                   const HeaderCheck& accepts,
                                    TargetExchange& exchange) {
   ErrorCode error;
   co_await http::async_write(connection->stream, request, Await(error));
@@ -124,13 +134,31 @@
     exchange.end = EndFor(error, *cancellation);
     co_return;
   }
+  request.body() = std::string();
   http::response_parser<http::string_body> parser;
+  parser.header_limit(kHeaderLimit);
   parser.body_limit(this->body_limit);
   if (request.method() == http::verb::head) {
     parser.skip(true);
   }
-  co_await http::async_read(connection->stream, connection->buffer, parser,
-                            Await(error));
+  co_await http::async_read_header(connection->stream, connection->buffer,
+                                   parser, Await(error));
+  if (!error && accepts && !accepts(parser.get().base())) {
+    exchange.end = End::kResponseInvalid;
+    co_return;
+  }
+  MemoryBudget::Holder holder(this->memory, "response", [connection] {
+    asio::post(connection->stream.get_executor(),
+               [connection] { connection->stream.close(); });
+  });
+  if (!error) {
+    co_await ReadBody(connection->stream, connection->buffer, parser, deadline,
+                      1, holder, error);
+  }
+  if (holder.IsBrokenOff()) {
+    exchange.end = End::kResponseTooLarge;
+    co_return;
+  }
   if (error) {
     exchange.end = EndFor(error, *cancellation);
     co_return;
--- a/src/transport/target_client.h
+++ b/src/transport/target_client.h
@@ -2,12 +2,14 @@
 #define DAISYWINCH_TRANSPORT_TARGET_CLIENT_H
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <memory>
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include "state/memory_budget.h"
 #include "transport/asio.h"
 #include "transport/cancellation.h"
 #include "transport/http.h"
@@ -26,7 +28,10 @@
     kResponseLost,
     kDeadlinePassed,
     kCancelled,
+    /// The response is over the limit, or was broken off for lack of memory.
     kResponseTooLarge,
+    /// The header belongs to no response to the request.
+    kResponseInvalid,
   };
 
   End end = End::kNotSent;
@@ -47,13 +52,24 @@
 /// that a late response cannot be mistaken for that of another request.
 class TargetClient {
  public:
+  /// Whether a response with this header may answer the request. The body of
+  /// one that may not is never read, as it may have no end.
+  using HeaderCheck = std::function<bool(const http::response_header<>&)>;
+
+  /// Maximum size of the header of a response in bytes.
+  static constexpr std::uint32_t kHeaderLimit = 64 * 1024;
+
+  /// `memory` counts the bytes of responses; null means no limit.
   TargetClient(asio::io_context& context,
                const Address& address,
-               std::uint64_t body_limit);
+               std::uint64_t body_limit,
+               MemoryBudget* memory = nullptr);
 
+  /// `accepts` may be null, which accepts all responses.
   Awaitable<TargetExchange> Send(HttpRequest request,
                                  TimePoint deadline,
-                                 std::shared_ptr<Cancellation> cancellation);
+                                 std::shared_ptr<Cancellation> cancellation,
+                                 HeaderCheck accepts = nullptr);
 
   /// Closes the connection of the exchange, if it is still in the pool. Used
   /// when the received bytes are not a response to the request.
@@ -68,7 +84,7 @@
     explicit Connection(asio::io_context& context) : stream(context) {}
 
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{kMaxBufferedBytes};
     TimePoint idle_since;
     /// Idle time after which the target closes the connection.
     Duration idle_timeout = Duration::max();
@@ -79,13 +95,16 @@
   /// the target had closed a connection before its idle timeout.
   std::shared_ptr<Connection> TakeIdleConnection(TargetExchange& exchange);
   Awaitable<> Transfer(std::shared_ptr<Connection> connection,
+                       TimePoint deadline,
                        std::shared_ptr<Cancellation> cancellation,
                        HttpRequest request,
+                       const HeaderCheck& accepts,
                        TargetExchange& exchange);
 
   asio::io_context& context;
   Address address;
   std::uint64_t body_limit;
+  MemoryBudget* memory;
   std::list<std::shared_ptr<Connection>> idle_connections;
   int connection_count = 0;
 };
