Watch all keys of the store with one poll

Cause: targets and operators' documents were watched by two long polls. A lost response to the one for targets was suspected after 8.4 s only, while the success of the other one said, also to the nodes that rely on a relay, that the store is reachable.

Change: one poll of 1 s for both. Event 2016 for a poll that is overdue. The handle interface's polls wait 1 s in place of 25 s, for the same reason.

--- a/src/node/platform_watcher.cc
+++ b/src/node/platform_watcher.cc
@@ -13,8 +13,10 @@
 
 namespace {
 
-/// Time that the platform holds a long poll if the value does not change.
-constexpr std::chrono::seconds kWatchTimeout{25};
+/// Time that the platform holds a long poll if the value does not change. A
+/// poll whose response is lost is noticed only then, and changes must be
+/// applied within four seconds.
+constexpr std::chrono::seconds kWatchTimeout{1};
 /// Bounds of the random delay before a retry. Backoff doubles both up to
 /// kMaxBackoffDoublings times.
 constexpr std::chrono::milliseconds kMinRetryDelay{250};
--- a/src/node/store_watcher.cc
+++ b/src/node/store_watcher.cc
@@ -1,6 +1,7 @@
 #include "node/store_watcher.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -17,13 +18,13 @@
 using platform::StoreItem;
 using platform::StorePage;
 
-/// Maximum wait of a long poll for changes of targets.
-constexpr std::chrono::milliseconds kTargetWatchWait{8000};
-/// The same for documents that operators write. Shorter, because an overdue
-/// response shows that the store is unreachable or unresponsive, for this node
-/// or for the relay whose feed it receives, long before the connection fails;
-/// operators expect changes to take effect within two seconds.
-constexpr std::chrono::milliseconds kOperatorWatchWait{1000};
+/// Maximum wait of a long poll for changes. A poll whose response is lost is
+/// noticed only after the wait. So it is short enough that an outage in the
+/// last time in which this node doesn't count as in touch is noticed before
+/// that time is over, and that the nodes which rely on this one as a relay read
+/// the store themselves within the two seconds in which changes have to take
+/// effect.
+constexpr std::chrono::milliseconds kWatchWait{1000};
 /// Time after the end of the wait at which a response is overdue.
 constexpr std::chrono::milliseconds kOverdueMargin{400};
 /// Maximum time for a response, in addition to the wait of its request.
@@ -35,10 +36,12 @@
 /// Limit for the doublings while updates of a relay arrive: the relay retries
 /// more often and reports when the store is reachable again.
 constexpr int kMaxBackoffDoublingsWithRelay = 5;
-/// Delay before the next long poll for targets, so that it returns several
-/// changes at once: each response with a change costs a request, and changes
-/// often come in groups.
+/// Delay before the next long poll after a change of targets, so that it
+/// returns several changes at once: each response with a change costs a
+/// request, and changes often come in groups.
 constexpr std::chrono::milliseconds kTargetBatchDelay{250};
+/// Interval between checks whether a prefix has to be listed, or is listed.
+constexpr std::chrono::milliseconds kListCheckInterval{20};
 /// Interval between checks whether this node has to read the store itself.
 constexpr std::chrono::milliseconds kFeedCheckInterval{100};
 /// Maximum of the random delay before a node reads changes that it misses
@@ -53,6 +56,9 @@
 /// Maximum size in bytes of the changes that are forwarded in a datagram.
 constexpr std::size_t kMaxForwardedBytes = std::size_t{32} * 1024;
 constexpr double kBackoffJitter = 0.5;
+/// Prefix of all keys. One poll for everything that is read: with two, the
+/// responses to one could hide that those to the other are lost.
+constexpr char kAllPrefixes[] = "";
 
 /// `is_used` is false if the node knows a later state of the target.
 void LogTarget(const MeshTarget& target,
@@ -88,11 +94,13 @@
 void StoreWatcher::Start() {
   for (const std::string_view prefix :
        {platform::kOperatorPrefix, platform::kTargetPrefix}) {
-    asio::co_spawn(this->context, this->Follow(std::string(prefix)),
+    this->progress_by_prefix.try_emplace(std::string(prefix));
+    asio::co_spawn(this->context, this->ListIfNeeded(std::string(prefix)),
                    asio::detached);
     asio::co_spawn(this->context, this->CatchUp(std::string(prefix)),
                    asio::detached);
   }
+  asio::co_spawn(this->context, this->FollowChanges(), asio::detached);
   asio::co_spawn(this->context, this->MaintainDirectory(), asio::detached);
 }
 
@@ -121,49 +129,89 @@
             {"revision", this->Position().revision}});
 }
 
+bool StoreWatcher::IsPollOverdue() const {
+  return this->poll_due_at && this->clock.Now() > *this->poll_due_at;
+}
+
+void StoreWatcher::LogOverduePoll() {
+  const bool is_overdue = this->IsPollOverdue();
+  if (is_overdue && !this->logged_overdue) {
+    LogEvent(EventId::kStorePollOverdue,
+             {{"era", this->Position().era},
+              {"revision", this->Position().revision}});
+  }
+  this->logged_overdue = is_overdue;
+}
+
 Awaitable<> StoreWatcher::Pause(Duration time) {
   Timer timer(this->context, time);
   ErrorCode ignored;
   co_await timer.async_wait(Await(ignored));
 }
 
-Awaitable<> StoreWatcher::Follow(std::string prefix) {
+bool StoreWatcher::MustListAny() const {
+  return std::any_of(
+      this->progress_by_prefix.begin(), this->progress_by_prefix.end(),
+      [](const auto& entry) { return entry.second.MustBeListed(); });
+}
+
+Awaitable<> StoreWatcher::ListIfNeeded(std::string prefix) {
   Progress& progress = this->progress_by_prefix[prefix];
+  int failures_in_row = 0;
   while (true) {
-    bool has_succeeded = false;
     // With a live feed, CatchUp() lists the prefix anew.
     const bool is_listed_elsewhere =
         progress.is_listing ||
         (this->HasLiveFeed() && this->listed_prefixes.contains(prefix));
-    if (progress.MustBeListed() && !is_listed_elsewhere) {
-      has_succeeded = co_await this->List(prefix, progress);
-    } else if (progress.MustBeListed() || this->HasLiveFeed()) {
+    if (!progress.MustBeListed() || is_listed_elsewhere) {
+      co_await this->Pause(kListCheckInterval);
+      continue;
+    }
+    const bool has_succeeded = co_await this->List(prefix, progress);
+    co_await this->HandleReadEnd(prefix, has_succeeded, failures_in_row);
+  }
+}
+
+Awaitable<> StoreWatcher::FollowChanges() {
+  int failures_in_row = 0;
+  while (true) {
+    if (this->HasLiveFeed()) {
       co_await this->Pause(kFeedCheckInterval);
       continue;
-    } else {
-      const bool is_operator_prefix = prefix == platform::kOperatorPrefix;
-      const Duration wait =
-          is_operator_prefix ? kOperatorWatchWait : kTargetWatchWait;
-      progress.response_due_at = this->clock.Now() + wait + kOverdueMargin;
-      progress.poll_era = progress.position.era;
-      has_succeeded = co_await this->Watch(prefix, progress, wait);
-      progress.poll_era.reset();
-      progress.response_due_at.reset();
     }
-    if (has_succeeded) {
-      progress.failures_in_row = 0;
-      this->unreachable_prefixes.erase(prefix);
-      if (this->unreachable_prefixes.empty()) {
-        this->HandleStoreReachable();
-      }
-      if (prefix == platform::kTargetPrefix) {
-        co_await this->Pause(kTargetBatchDelay);
-      }
+    if (this->MustListAny()) {
+      co_await this->Pause(kListCheckInterval);
       continue;
     }
+    const std::uint64_t targets_before =
+        this->progress_by_prefix[std::string(platform::kTargetPrefix)]
+            .last_change;
+    this->poll_due_at = this->clock.Now() + kWatchWait + kOverdueMargin;
+    this->poll_era = this->era;
+    const bool has_succeeded = co_await this->Watch(kAllPrefixes, kWatchWait);
+    this->poll_era.reset();
+    this->poll_due_at.reset();
+    co_await this->HandleReadEnd(kAllPrefixes, has_succeeded, failures_in_row);
+    if (this->progress_by_prefix[std::string(platform::kTargetPrefix)]
+            .last_change != targets_before) {
+      co_await this->Pause(kTargetBatchDelay);
+    }
+  }
+}
+
+Awaitable<> StoreWatcher::HandleReadEnd(std::string prefix,
+                                        bool has_succeeded,
+                                        int& failures_in_row) {
+  if (!has_succeeded) {
     this->unreachable_prefixes.insert(prefix);
     this->HandleStoreUnreachable(this->last_error);
-    co_await this->BackOff(progress.failures_in_row++);
+    co_await this->BackOff(failures_in_row++);
+    co_return;
+  }
+  failures_in_row = 0;
+  this->unreachable_prefixes.erase(prefix);
+  if (this->unreachable_prefixes.empty()) {
+    this->HandleStoreReachable();
   }
 }
 
@@ -204,11 +252,11 @@
     if (!this->MustCatchUp(prefix, progress)) {
       continue;
     }
-    bool has_succeeded = progress.MustBeListed() ||
-                         co_await this->Watch(prefix, progress, kCatchUpWait);
+    bool has_succeeded =
+        progress.MustBeListed() || co_await this->Watch(prefix, kCatchUpWait);
     if (has_succeeded && progress.MustBeListed() && !progress.is_listing) {
       // The store has discarded the changes or began a new era. List them here,
-      // as the long poll of Follow() may still be waiting.
+      // as the long poll may still be waiting.
       has_succeeded = co_await this->List(prefix, progress);
     }
     if (has_succeeded) {
@@ -226,8 +274,8 @@
   if (!this->listed_prefixes.contains(prefix) || progress.is_listing) {
     return false;
   }
-  const bool is_poll_obsolete = progress.poll_era &&
-                                *progress.poll_era < progress.position.era &&
+  const bool is_poll_obsolete = this->poll_era &&
+                                *this->poll_era < progress.position.era &&
                                 !this->HasLiveFeed();
   return progress.MustBeListed() || is_poll_obsolete ||
          progress.position <
@@ -324,11 +372,24 @@
   co_return true;
 }
 
-Awaitable<bool> StoreWatcher::Watch(std::string prefix,
-                                    Progress& progress,
-                                    Duration wait) {
-  const StorePosition after = progress.position;
-  const std::uint64_t last_change = progress.last_change;
+std::vector<StoreWatcher::WatchedPrefix> StoreWatcher::PrefixesWithin(
+    const std::string& prefix) {
+  std::vector<WatchedPrefix> watched;
+  for (auto& [name, progress] : this->progress_by_prefix) {
+    if (name.starts_with(prefix)) {
+      watched.push_back(
+          {name, &progress, progress.position, progress.last_change});
+    }
+  }
+  return watched;
+}
+
+Awaitable<bool> StoreWatcher::Watch(std::string prefix, Duration wait) {
+  const std::vector<WatchedPrefix> watched = this->PrefixesWithin(prefix);
+  StorePosition after = watched.front().after;
+  for (const WatchedPrefix& entry : watched) {
+    after = std::min(after, entry.after);
+  }
   const std::optional<HttpResponse> response = co_await this->SendRequest(
       platform::MakeWatchRequest(prefix, after.revision, wait),
       wait + kResponseTimeout);
@@ -339,12 +400,8 @@
     if (!this->AcceptEra({platform::ReadEra(*response), 0})) {
       co_return false;
     }
-    if (progress.position == after) {
-      LogEvent(EventId::kStoreHistoryGone, {{"prefix", prefix},
-                                            {"era", after.era},
-                                            {"revision", after.revision}});
-      progress.last_unconnected = std::max(progress.last_unconnected, after);
-      progress.position.revision = 0;
+    for (const WatchedPrefix& entry : watched) {
+      this->HandleHistoryGone(entry);
     }
     co_return true;
   }
@@ -358,19 +415,40 @@
       this->unreachable_prefixes.empty()) {
     this->HandleStoreReachable();
   }
-  if (progress.MustBeListed() || page->position.era != after.era) {
-    // The changes are not those after the known position: the store has begun a
-    // new era, or the other coroutine that reads this prefix found that the
-    // store has discarded the history.
-    co_return true;
-  }
-  if (this->ApplyChanges(page->items, page->position.revision, progress)) {
-    this->on_change();
-    this->ForwardChanges(prefix, last_change, *page);
+  for (const WatchedPrefix& entry : watched) {
+    if (entry.progress->MustBeListed() ||
+        page->position.era != entry.after.era) {
+      // The changes are not those after the known position: the store has begun
+      // a new era, or the other coroutine that reads this prefix found that the
+      // store has discarded the history.
+      continue;
+    }
+    std::vector<StoreItem> items;
+    std::copy_if(page->items.begin(), page->items.end(),
+                 std::back_inserter(items), [&entry](const StoreItem& item) {
+                   return item.key.starts_with(entry.prefix);
+                 });
+    if (this->ApplyChanges(items, page->position.revision, *entry.progress)) {
+      this->on_change();
+      this->ForwardChanges(entry.prefix, entry.last_change, items);
+    }
   }
   co_return true;
 }
 
+void StoreWatcher::HandleHistoryGone(const WatchedPrefix& watched) {
+  Progress& progress = *watched.progress;
+  if (progress.position != watched.after) {
+    return;
+  }
+  LogEvent(EventId::kStoreHistoryGone, {{"prefix", watched.prefix},
+                                        {"era", watched.after.era},
+                                        {"revision", watched.after.revision}});
+  progress.last_unconnected =
+      std::max(progress.last_unconnected, watched.after);
+  progress.position.revision = 0;
+}
+
 bool StoreWatcher::ApplyChanges(const std::vector<StoreItem>& items,
                                 std::uint64_t up_to,
                                 Progress& progress) {
@@ -388,13 +466,13 @@
 
 void StoreWatcher::ForwardChanges(const std::string& prefix,
                                   std::uint64_t last_change,
-                                  const StorePage& page) {
+                                  const std::vector<StoreItem>& items) {
   std::optional<protocol::StoreNews> update = this->MakeStoreUpdate();
   if (!update || !this->forward_update) {
     return;
   }
   std::size_t size = 0;
-  for (const StoreItem& item : page.items) {
+  for (const StoreItem& item : items) {
     size += item.key.size() + item.value.size();
   }
   if (size > kMaxForwardedBytes) {
@@ -406,7 +484,7 @@
       continue;
     }
     prefix_update.set_after(last_change);
-    for (const StoreItem& item : page.items) {
+    for (const StoreItem& item : items) {
       protocol::StoreChange* change = prefix_update.add_changes();
       change->set_key(item.key);
       change->set_value(item.value);
@@ -418,26 +496,20 @@
 }
 
 std::optional<protocol::StoreNews> StoreWatcher::MakeStoreUpdate() const {
-  const bool is_listing_again = std::any_of(
-      this->progress_by_prefix.begin(), this->progress_by_prefix.end(),
-      [](const auto& entry) { return entry.second.MustBeListed(); });
   if (this->HasLiveFeed() || this->listed_prefixes.empty() ||
-      (is_listing_again && this->unreachable_prefixes.empty())) {
+      (this->MustListAny() && this->unreachable_prefixes.empty())) {
     return std::nullopt;
   }
   protocol::StoreNews update;
-  bool is_up_to_date = true;
   for (const auto& [prefix, progress] : this->progress_by_prefix) {
-    const bool is_overdue = progress.response_due_at &&
-                            this->clock.Now() > *progress.response_due_at;
-    is_up_to_date = is_up_to_date && !progress.MustBeListed() && !is_overdue;
     protocol::PrefixNews* prefix_update = update.add_prefixes();
     prefix_update->set_prefix(prefix);
     prefix_update->set_era(progress.position.era);
     prefix_update->set_last_change(progress.last_change);
     prefix_update->set_up_to(progress.position.revision);
   }
-  update.set_is_reachable(is_up_to_date && this->unreachable_prefixes.empty());
+  update.set_is_reachable(!this->MustListAny() && !this->IsPollOverdue() &&
+                          this->unreachable_prefixes.empty());
   update.set_lapse_left_ms(
       std::chrono::ceil<std::chrono::milliseconds>(
           this->directory.ExpiryGraceLeft(this->clock.Now()))
@@ -671,6 +743,7 @@
     ErrorCode ignored;
     co_await timer.async_wait(Await(ignored));
     this->LogFeedChange();
+    this->LogOverduePoll();
     if (this->directory.ApplyOverdue(this->clock.Now())) {
       this->on_change();
     }
--- a/src/node/store_watcher.h
+++ b/src/node/store_watcher.h
@@ -26,12 +26,13 @@
 /// Watches the platform's store and keeps the directory up to date.
 ///
 /// The store maps keys to values and gives each change a revision. Two key
-/// prefixes are watched: that of the documents that operators write, and that
-/// of the targets' records. Lists each prefix once and then waits for its
-/// changes (long polling). Lists a prefix again when the store has discarded
-/// the changes since the last known revision, and lists both again when the
-/// store begins a new era: it was restored from an older copy, and revisions
-/// are given out again. Responses of an earlier era are discarded.
+/// prefixes are read: that of the documents that operators write, and that of
+/// the targets' records. Lists each prefix once and then waits for changes of
+/// both with one request at a time (long polling). Lists a prefix again when
+/// the store has discarded the changes since the last known revision, and lists
+/// both again when the store begins a new era: it was restored from an older
+/// copy, and revisions are given out again. Responses of an earlier era are
+/// discarded.
 ///
 /// A relay forwards changes to the nodes of its data centre. A node that
 /// receives this feed sends no long polls and reads only the changes that it
@@ -83,22 +84,38 @@
     /// Position of the last change that was applied without those before it.
     StorePosition last_unconnected;
     bool is_listing = false;
-    /// Era in which the pending long poll was sent.
-    std::optional<std::uint64_t> poll_era;
-    int failures_in_row = 0;
-    /// Time after which the response to the pending long poll is overdue.
-    std::optional<TimePoint> response_due_at;
   };
 
-  /// Lists and watches a prefix for as long as the process runs; pauses while
-  /// this node receives the feed from a relay.
-  Awaitable<> Follow(std::string prefix);
+  /// A prefix and its progress when its changes were requested.
+  struct WatchedPrefix {
+    std::string prefix;
+    Progress* progress = nullptr;
+    StorePosition after;
+    std::uint64_t last_change = 0;
+  };
+
+  /// Whether a prefix has to be listed.
+  bool MustListAny() const;
+  /// Lists a prefix whenever it is needed, for as long as the process runs.
+  Awaitable<> ListIfNeeded(std::string prefix);
+  /// Waits for changes, for as long as the process runs; pauses while this node
+  /// receives the feed from a relay.
+  Awaitable<> FollowChanges();
+  /// Records whether a read of the prefix succeeded; backs off after a failure.
+  Awaitable<> HandleReadEnd(std::string prefix,
+                            bool has_succeeded,
+                            int& failures_in_row);
   /// Reads all items of a prefix; returns whether that succeeded.
   Awaitable<bool> List(std::string prefix, Progress& progress);
   Awaitable<bool> ReadList(std::string prefix, Progress& progress);
-  /// Reads the changes of a prefix, and waits up to `wait` for the first one;
-  /// returns whether that succeeded.
-  Awaitable<bool> Watch(std::string prefix, Progress& progress, Duration wait);
+  /// The prefixes that are read and begin with `prefix`.
+  std::vector<WatchedPrefix> PrefixesWithin(const std::string& prefix);
+  /// Reads the changes of all keys that begin with `prefix`, and waits up to
+  /// `wait` for the first one; returns whether that succeeded.
+  Awaitable<bool> Watch(std::string prefix, Duration wait);
+  /// The store no longer has the changes after the watched position: the prefix
+  /// must be listed, unless it has been read since.
+  void HandleHistoryGone(const WatchedPrefix& watched);
   /// Reads changes that this node misses according to the feed, or that the
   /// pending long poll misses because it was sent in an earlier era.
   Awaitable<> CatchUp(std::string prefix);
@@ -114,6 +131,9 @@
   bool HasLiveFeed() const;
   /// Logs when this node starts or stops receiving the feed.
   void LogFeedChange();
+  /// Whether the response to the pending long poll is overdue.
+  bool IsPollOverdue() const;
+  void LogOverduePoll();
   Awaitable<> Pause(Duration time);
   /// Waits until the next attempt to reach the store is due, or a relay's feed
   /// makes it unnecessary.
@@ -131,11 +151,11 @@
   bool ApplyChanges(const std::vector<platform::StoreItem>& items,
                     std::uint64_t up_to,
                     Progress& progress);
-  /// Forwards the changes of `page` to the subscribers of this relay.
+  /// Forwards the changes of a prefix to the subscribers of this relay.
   /// `last_change` is the revision of the last change known before them.
   void ForwardChanges(const std::string& prefix,
                       std::uint64_t last_change,
-                      const platform::StorePage& page);
+                      const std::vector<platform::StoreItem>& items);
   /// Sends a request to the store. Returns nothing, and sets `last_error`, if
   /// there is no response.
   Awaitable<std::optional<HttpResponse>> SendRequest(HttpRequest request,
@@ -165,7 +185,12 @@
   std::map<std::string, Progress, std::less<>> progress_by_prefix;
   /// Prefixes that have been listed at least once.
   std::set<std::string> listed_prefixes;
+  /// Prefixes of which the last read failed.
   std::set<std::string> unreachable_prefixes;
+  /// Era in which the pending long poll was sent.
+  std::optional<std::uint64_t> poll_era;
+  /// Time after which the response to the pending long poll is overdue.
+  std::optional<TimePoint> poll_due_at;
   /// Era of the latest response; unset before the first one.
   std::optional<std::uint64_t> era;
   /// Latest era that a response or a relay has reported.
@@ -174,6 +199,7 @@
   std::function<void(const protocol::StoreNews&)> forward_update;
   bool is_relay = false;
   bool logged_live_feed = false;
+  bool logged_overdue = false;
   /// Time of the last response from the store, or of the last update from a
   /// relay that reads it.
   TimePoint last_contact_at;
--- a/src/state/event_log.cc
+++ b/src/state/event_log.cc
@@ -119,6 +119,9 @@
     EventDescription{EventId::kStoreRestored, kWarning, "store-restored",
                      "The store was restored from an older copy and began a "
                      "new era; all keys are read again."},
+    EventDescription{EventId::kStorePollOverdue, kWarning, "store-poll-overdue",
+                     "The store hasn't answered a request for changes after "
+                     "its wait; what changed since it was sent isn't known."},
     EventDescription{EventId::kPeerSuspected, kWarning, "peer-suspected",
                      "A node of the VM list stopped responding."},
     EventDescription{EventId::kPeerRestored, kInformation, "peer-restored",
--- a/src/state/event_log.h
+++ b/src/state/event_log.h
@@ -42,6 +42,7 @@
   kStoreFed = 2013,
   kStoreReadItself = 2014,
   kStoreRestored = 2015,
+  kStorePollOverdue = 2016,
   kPeerSuspected = 3001,
   kPeerRestored = 3002,
   kPeerRejected = 3003,
