Take late calls of a stopping node only if their deadline fits

Cause: a repeatable call was taken if a smoothed upper bound of the times of its route fitted into the time left. Work has tails that no estimate from earlier calls covers.

Change: StopSchedule. The local target gets no new requests from 2.24 s on, so that what it has begun can make its calls. The same schedule in the handle interface.

--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -194,7 +194,11 @@
       this->clock.Now() + TimeoutOf(request, *call.route);
   if (!call.parent_handle.empty()) {
     call.context.deadline = std::min(call.context.deadline, request_deadline);
-    return true;
+    const bool is_too_late =
+        this->stop_schedule && !this->stop_schedule->MayTakeCall(
+                                   this->clock.Now(), call.context.deadline);
+    reason = is_too_late ? RefusalReason::kDraining : RefusalReason::kNone;
+    return !is_too_late;
   }
   call.context.deadline = request_deadline;
   call.context.request_class = call.route->request_class;
--- a/src/node/ingress.h
+++ b/src/node/ingress.h
@@ -19,6 +19,7 @@
 #include "state/retry_budget.h"
 #include "state/settings.h"
 #include "state/snapshot.h"
+#include "state/stop_schedule.h"
 #include "transport/asio.h"
 #include "transport/cancellation.h"
 #include "transport/http.h"
@@ -51,6 +52,11 @@
   /// Refuses new requests of callers from now on; nested calls of requests in
   /// progress are still accepted. Thread-safe.
   void Drain() { this->draining = true; }
+  /// Accepts nested calls only as far as the schedule allows. Runs on the
+  /// thread of the ingress.
+  void SetStopSchedule(const StopSchedule& schedule) {
+    this->stop_schedule = schedule;
+  }
 
   const CallMetrics& Metrics() const { return this->metrics; }
   const RefusalHistory& RecentRefusals() const { return this->refusal_history; }
@@ -121,6 +127,8 @@
   std::uint64_t next_root_id = 1;
   std::string root_id_prefix;
   std::atomic<bool> draining = false;
+  /// Set while the node stops.
+  std::optional<StopSchedule> stop_schedule;
 };
 
 }  // namespace daisywinch
--- a/src/node/mesh_ingress.cc
+++ b/src/node/mesh_ingress.cc
@@ -149,9 +149,6 @@
   const TimePoint now = this->clock.Now();
   const bool is_served = reply.outcome() == protocol::OUTCOME_ANSWERED &&
                          static_cast<int>(reply.status()) < kServerError;
-  if (is_served) {
-    this->call_times[call.route->name].Record(now - call.started);
-  }
   if (!call.is_root) {
     const RefusalReason reason = static_cast<RefusalReason>(reply.reason());
     // The slots that a target reports already allow for its rate limit. A
@@ -202,9 +199,6 @@
 }
 
 void MeshIngress::RetainConfigured(const MeshConfiguration& configuration) {
-  std::erase_if(this->call_times, [&configuration](const auto& entry) {
-    return configuration.FindRouteByName(entry.first) == nullptr;
-  });
   const auto has_no_service = [&configuration](const auto& entry) {
     return configuration.FindService(entry.first) == nullptr;
   };
@@ -303,19 +297,9 @@
 }
 
 bool MeshIngress::IsTooLateToTake(const Call& call) const {
-  if (!this->answers_end) {
-    return false;
-  }
-  TimePoint expected_end = call.deadline;
-  if (call.route->repeatable) {
-    const auto found = this->call_times.find(call.route->name);
-    const Duration expected =
-        found == this->call_times.end()
-            ? ObjectiveOf(*call.route)
-            : found->second.UpperBound().value_or(ObjectiveOf(*call.route));
-    expected_end = std::min(expected_end, call.started + expected);
-  }
-  return call.is_root || expected_end > *this->answers_end;
+  return this->stop_schedule &&
+         (call.is_root ||
+          !this->stop_schedule->MayTakeCall(call.started, call.deadline));
 }
 
 Awaitable<protocol::CallReply> MeshIngress::SendWithRetries(
@@ -452,7 +436,7 @@
   if (reason == RefusalReason::kNotReady || call.route == nullptr) {
     return kNotReadyRetryDelay;
   }
-  if (this->answers_end && call.is_root) {
+  if (this->stop_schedule && call.is_root) {
     return kDrainingRetryDelay;
   }
   const Duration objective = ObjectiveOf(*call.route);
--- a/src/node/mesh_ingress.h
+++ b/src/node/mesh_ingress.h
@@ -17,7 +17,6 @@
 #include "node/call_sender.h"
 #include "platform/attempt_messages.h"
 #include "state/clock.h"
-#include "state/duration_estimate.h"
 #include "state/fatal_requests.h"
 #include "state/log_rate_limiter.h"
 #include "state/mesh_load_balancer.h"
@@ -28,6 +27,7 @@
 #include "state/return_schedule.h"
 #include "state/route_classes.h"
 #include "state/route_cost_estimator.h"
+#include "state/stop_schedule.h"
 #include "state/weighted_service_chooser.h"
 #include "transport/asio.h"
 #include "transport/cancellation.h"
@@ -61,9 +61,8 @@
                                  std::shared_ptr<Cancellation> cancellation);
 
   /// Refuses new root requests from now on. Nested calls are still accepted, as
-  /// they belong to requests in progress, if they are likely to have their
-  /// responses by `answers_end`.
-  void Drain(TimePoint answers_end) { this->answers_end = answers_end; }
+  /// they belong to requests in progress, as far as the schedule allows.
+  void Drain(const StopSchedule& schedule) { this->stop_schedule = schedule; }
 
   /// Sets the bounds for all requests from now on.
   void SetBounds(const MeshBounds& new_bounds);
@@ -104,12 +103,10 @@
   RefusalReason Admit(HttpRequest& request, Call& call);
   /// Records how an admitted call ended, for the admission of root requests.
   void RecordOutcome(const Call& call, const protocol::CallReply& reply);
-  /// Whether this node stops and no longer takes the call. A call that may be
-  /// repeated must fit into the time left by the times of the served calls of
-  /// its route, any other by its deadline.
+  /// Whether this node stops and no longer takes the call.
   bool IsTooLateToTake(const Call& call) const;
   void RefreshView();
-  /// Forgets what is known of routes and customers that the configuration
+  /// Forgets what is known of services and customers that the configuration
   /// doesn't contain.
   void RetainConfigured(const MeshConfiguration& configuration);
   /// Sends the call to one target after another until it succeeds or may not be
@@ -176,10 +173,8 @@
   std::unordered_map<std::string, RetryBudget> leaf_retry_budgets;
   CallMetrics metrics;
   LogRateLimiter log_limiter;
-  /// Times of served calls, by route.
-  std::unordered_map<std::string, DurationEstimate> call_times;
-  /// Set while the node stops: the time at which requests in progress are cut.
-  std::optional<TimePoint> answers_end;
+  /// Set while the node stops.
+  std::optional<StopSchedule> stop_schedule;
 };
 
 }  // namespace daisywinch
--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -28,13 +28,17 @@
 /// Change of the target's usable slots since the last update, as a fraction of
 /// them, that makes an update urgent.
 constexpr double kUrgentSlotChange = 0.2;
-/// Time from the stop signal for which requests are served as before: the
+/// Time from the stop signal for which root requests are served as before: the
 /// platform checks readiness once a second and stops traffic after two failed
 /// checks.
 constexpr std::chrono::milliseconds kMaxServingTime{2800};
 /// The same as a fraction of the time until the process exits, if that is
 /// shorter. The rest is for the requests in progress.
 constexpr double kServingFraction = 0.6;
+/// Time before the end of the serving time at which the local target gets no
+/// more requests, as a fraction of it: those that it has begun may make nested
+/// calls, which are taken for about as long as root requests.
+constexpr double kTargetMargin = 0.2;
 /// Time before the end of the grace period at which the process exits even if
 /// requests are in progress; at most a quarter of that period.
 constexpr std::chrono::milliseconds kGraceMargin{300};
@@ -318,7 +322,7 @@
       std::chrono::duration_cast<Duration>(time_left * kServingFraction));
   const int cancelled_requests = co_await asio::co_spawn(
       this->traffic_context,
-      this->ShutDownTraffic(started + serving_time, started + time_left),
+      this->ShutDownTraffic(started, serving_time, time_left),
       asio::use_awaitable);
   LogShutdownEnd(this->settings.vm, this->gate.CallsInProgress(),
                  cancelled_requests);
@@ -326,15 +330,23 @@
   this->control_context.stop();
 }
 
-Awaitable<int> MeshNode::ShutDownTraffic(TimePoint refuse_from,
-                                         TimePoint deadline) {
+Awaitable<int> MeshNode::ShutDownTraffic(TimePoint started,
+                                         Duration serving_time,
+                                         Duration time_left) {
+  const TimePoint deadline = started + time_left;
   this->caller_server.AnnounceClose();
   ErrorCode ignored;
-  Timer serving_end(this->traffic_context, refuse_from);
+  Timer target_end(this->traffic_context,
+                   started + std::chrono::duration_cast<Duration>(
+                                 serving_time * (1 - kTargetMargin)));
+  co_await target_end.async_wait(Await(ignored));
+  this->gate.Drain();
+  this->SendLocalUpdate();
+  Timer serving_end(this->traffic_context, started + serving_time);
   co_await serving_end.async_wait(Await(ignored));
   this->is_refusing = true;
-  this->gate.Drain();
-  this->ingress.Drain(deadline - HttpServer::kCancellationMargin);
+  this->ingress.Drain(StopSchedule(started, time_left,
+                                   deadline - HttpServer::kCancellationMargin));
   this->SendLocalUpdate();
   const auto is_gate_busy = [this] {
     return this->gate.CallsInProgress() > 0 ||
--- a/src/node/mesh_node.h
+++ b/src/node/mesh_node.h
@@ -43,11 +43,14 @@
   /// Puts the changed settings into force that may change in a running process.
   void ApplySettings(const MeshSettings& changed);
   Awaitable<> ShutDownOnSignal();
-  /// Serves until callers have had the time to move to other nodes, then
-  /// refuses new requests and returns when all others have their responses, or
-  /// at the deadline. Runs on the traffic thread.
+  /// Serves for `serving_time` after the stop signal, in which callers can move
+  /// to other nodes, then refuses new requests and returns when all others have
+  /// their responses, or when `time_left` is over. The local target gets new
+  /// requests for a shorter time. Runs on the traffic thread.
   /// Returns the number of requests that were cancelled.
-  Awaitable<int> ShutDownTraffic(TimePoint refuse_from, TimePoint deadline);
+  Awaitable<int> ShutDownTraffic(TimePoint started,
+                                 Duration serving_time,
+                                 Duration time_left);
   /// Periodically sends this node's updates and, as a relay, the sums of other
   /// nodes' updates.
   Awaitable<> SendUpdates();
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -208,10 +208,14 @@
   this->ingress.Drain();
   this->gate.Drain();
   this->control.Drain();
-  asio::post(this->ingress_context,
-             [this] { this->caller_server.AnnounceClose(); });
-  const TimePoint deadline =
-      this->clock.Now() + this->settings.shutdown_timeout;
+  const TimePoint started = this->clock.Now();
+  const Duration time_left = this->settings.shutdown_timeout;
+  const TimePoint deadline = started + time_left;
+  asio::post(this->ingress_context, [this, started, time_left, deadline] {
+    this->caller_server.AnnounceClose();
+    this->ingress.SetStopSchedule(StopSchedule(
+        started, time_left, deadline - HttpServer::kCancellationMargin));
+  });
   const auto is_gate_busy = [this] {
     return this->gate.CallsInProgress() > 0 ||
            this->call_server.CallsInProgress() > 0;
--- a/tests/end_to_end/planned_stop_test.cc
+++ b/tests/end_to_end/planned_stop_test.cc
@@ -306,6 +306,89 @@
   BOOST_TEST(answered > 0);
 }
 
+// Calls were taken late in the grace period because others of their route were
+// short, and cut when they were long.
+BOOST_AUTO_TEST_CASE(nested_calls_that_become_long_are_not_cut) {
+  constexpr milliseconds kShortTime{20};
+  constexpr milliseconds kLongTime{1900};
+  constexpr milliseconds kRootTime{2100};
+  constexpr milliseconds kInterval{50};
+  constexpr milliseconds kGrace{6000};
+  constexpr milliseconds kServingTime{3000};
+  for (const milliseconds long_from :
+       {milliseconds(3000), milliseconds(3700), milliseconds(4400)}) {
+    StopFixture fixture;
+    const auto set_service_time = [&fixture](int vm, milliseconds time) {
+      fixture.fleet.SetTargetBehaviour(
+          fixture.Vm(vm), "service_ms=" + std::to_string(time.count()));
+    };
+    set_service_time(0, kLongTime);
+    set_service_time(2, kShortTime);
+    fixture.fleet.PublishTarget(fixture.Vm(1), true, 2);
+    MeshVm& vm = fixture.Vm(0);
+    std::mutex mutex;
+    std::vector<Attempt> attempts;
+    std::vector<std::thread> threads;
+    Call call;
+    call.path = "/stock/1";
+    call.key = "";
+    for (int count = 0; count < 50; ++count) {
+      KeepAliveCaller caller(vm.caller_address);
+      caller.Send("before-" + std::to_string(count), call);
+    }
+    const TimePoint signalled = BootTime::now();
+    vm.node_process->Signal(SIGTERM);
+    bool is_long = false;
+    for (int step = 0; step * kInterval < kGrace; ++step) {
+      if (!is_long && step * kInterval >= long_from) {
+        is_long = true;
+        set_service_time(2, kLongTime);
+      }
+      if (step * kInterval == kRootTime) {
+        // The local target is at work, and may make nested calls.
+        threads.emplace_back([&] {
+          Call root;
+          root.path = "/look/1";
+          root.key = MeshFleet::kSchoolKey;
+          KeepAliveCaller caller(vm.caller_address);
+          caller.Send("root", root);
+        });
+      }
+      threads.emplace_back([&, step] {
+        KeepAliveCaller caller(vm.caller_address);
+        const Attempt attempt =
+            caller.Send("new-" + std::to_string(step), call);
+        const std::lock_guard lock(mutex);
+        attempts.push_back(attempt);
+      });
+      std::this_thread::sleep_until(std::chrono::steady_clock::now() +
+                                    kInterval);
+    }
+    fixture.CheckExit(vm);
+    for (std::thread& thread : threads) {
+      thread.join();
+    }
+    std::map<std::string, int> runs = fixture.CountRuns();
+    for (const Attempt& attempt : attempts) {
+      const milliseconds sent_after =
+          std::chrono::duration_cast<milliseconds>(attempt.sent_at - signalled);
+      const bool may_be_cut =
+          sent_after <= kServingTime &&
+          sent_after + attempt.waited >= kGrace - kGrace / 6;
+      if (runs[attempt.id] > 0 && !may_be_cut) {
+        BOOST_TEST(attempt.status == 200,
+                   attempt.id << ", sent " << sent_after.count()
+                              << " ms after the signal, ran and got "
+                              << attempt.status);
+      }
+      if (sent_after < kServingTime - kInterval) {
+        BOOST_TEST(attempt.status == 200,
+                   attempt.id << " got " << attempt.status);
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(overlapping_restarts_lose_no_request) {
   for (const std::uint64_t seed : ChooseSeeds(kDefaultSeeds)) {
     BOOST_TEST_CONTEXT("seed " << seed) {
