--- a/src/coordination/tree_costs.cc
+++ b/src/coordination/tree_costs.cc
@@ -94,9 +94,9 @@
 
 const TreeCosts::SecondsByService& TreeCosts::SubtreeCost(std::size_t index,
                                                           std::size_t depth) {
-  static const SecondsByService kNone;
+  static const SecondsByService none;
   if (depth >= kMaxDepth) {
-    return kNone;
+    return none;
   }
   ClassCost& start = this->classes[index];
   std::optional<SecondsByService>& known = start.subtree_seconds[depth];
--- a/src/state/route_cost_estimator.cc
+++ b/src/state/route_cost_estimator.cc
@@ -38,6 +38,7 @@
     return nested_calls;
   }
   std::vector<std::pair<double, std::string>> by_calls;
+  by_calls.reserve(nested_calls.size());
   for (const auto& [callee, calls] : nested_calls) {
     by_calls.emplace_back(calls, callee);
   }
--- a/tests/platform/store_outage_test.cc
+++ b/tests/platform/store_outage_test.cc
@@ -128,8 +128,8 @@
       content = "\"events\":[" + this->EventsFor(target) + "]";
     }
     is_lost = is_lost || this->is_silent;
-    while (is_lost) {
-      co_await this->Wait(std::chrono::minutes(1));
+    if (is_lost) {
+      co_await this->Wait(std::chrono::hours(1));
     }
     HttpResponse response(http::status::ok, 11);
     response.body() = "{\"StoreRevision\":" + std::to_string(this->revision) +
