--- a/src/platform/attempt_messages.h
+++ b/src/platform/attempt_messages.h
@@ -28,8 +28,9 @@
 /// API key, and the header fields that MakeTargetRequest() sets.
 void MoveToCallRequest(HttpRequest& request, protocol::CallRequest& message);
 
-/// Makes the request for a target. `remaining` is the time until the deadline;
-/// the timeout header is at least 1 ms.
+/// Makes the request for a target and moves the body of the call into it.
+/// `remaining` is the time until the deadline; the timeout header is at least
+/// 1 ms.
 HttpRequest MakeTargetRequest(protocol::CallRequest& call, Duration remaining);
 
 /// What a target's response says about the execution of the request.
--- a/src/state/call_rate_estimator.h
+++ b/src/state/call_rate_estimator.h
@@ -96,7 +96,10 @@
   Index RouteIndex(const std::string& route);
   Index CalleeIndex(const std::string& callee);
   static std::vector<Entry> ToEntries(std::map<Index, float>& amounts);
+  /// Forgets the names that neither the history nor the current interval
+  /// contains.
   void ForgetUnusedNames();
+  /// Updates the sums over the history.
   void SumHistory();
   /// Continues the fit within the limit of work for one interval.
   void ContinueFit();
