--- a/src/state/call_rate_estimator.cc
+++ b/src/state/call_rate_estimator.cc
@@ -21,8 +21,7 @@
 /// increase again when calls appear that no other route explains.
 constexpr double kMinRate = 1e-3;
 
-/// Maximum number of steps of a fit in one interval, about a tenth of a
-/// millisecond.
+/// Maximum number of steps of a fit in one interval.
 constexpr std::size_t kMaxStepsPerInterval = 200'000;
 
 /// Part of its calls that a run has made on average before it has ended. Counts
--- a/tests/transport/unbounded_message_test.cc
+++ b/tests/transport/unbounded_message_test.cc
@@ -134,7 +134,7 @@
   Tcp::acceptor acceptor;
 };
 
-/// Sum of the capacities that may be held while one message is copied.
+/// Whether the bytes held have been within the limit all the time.
 bool IsWithinLimit(const MemoryBudget& memory) {
   const std::string text = memory.ToPrometheusText();
   const std::string name = "\ndaisywinch_message_bytes_most ";
