Count small messages without a lock

Change: a message is entered once it has that size; smaller ones are counted by an atomic sum. A connection between nodes has one holder, not one for each frame.

--- a/src/state/memory_budget.cc
+++ b/src/state/memory_budget.cc
@@ -39,7 +39,6 @@
 }
 
 std::string MemoryBudget::ToPrometheusText() const {
-  const std::lock_guard<std::mutex> lock(this->mutex);
   std::string text =
       "# HELP daisywinch_message_bytes Bytes held for messages.\n"
       "# TYPE daisywinch_message_bytes gauge\n"
@@ -54,6 +53,7 @@
       "\n# HELP daisywinch_messages_broken_off_total Messages that were broken "
       "off for lack of memory.\n"
       "# TYPE daisywinch_messages_broken_off_total counter\n";
+  const std::lock_guard<std::mutex> lock(this->mutex);
   for (const auto& [use, count] : this->broken_off_by_use) {
     text += "daisywinch_messages_broken_off_total{use=\"" + use + "\"} " +
             std::to_string(count) + "\n";
@@ -61,6 +61,14 @@
   return text;
 }
 
+void MemoryBudget::RecordMostHeld() {
+  const std::size_t now_held = this->held;
+  std::size_t most = this->most_held;
+  while (now_held > most &&
+         !this->most_held.compare_exchange_weak(most, now_held)) {
+  }
+}
+
 void MemoryBudget::MakeRoom(const Holder* asking) {
   while (this->held > this->limit) {
     const auto largest =
@@ -69,8 +77,7 @@
                            return std::pair(left->bytes, left == asking) <
                                   std::pair(right->bytes, right == asking);
                          });
-    if (largest == this->candidates.end() ||
-        (*largest)->bytes < kMinBrokenOff) {
+    if (largest == this->candidates.end()) {
       return;
     }
     Holder& holder = **largest;
@@ -84,18 +91,15 @@
     ++this->broken_off_by_use[std::string(holder.use)];
     holder.is_broken_off = true;
     holder.break_off();
+    // Its own thread may destroy the holder from now on.
+    holder.is_candidate = false;
   }
 }
 
 MemoryBudget::Holder::Holder(MemoryBudget* budget,
                              std::string_view use,
                              std::function<void()> break_off)
-    : budget(budget), use(use), break_off(std::move(break_off)) {
-  if (this->budget != nullptr && this->break_off) {
-    const std::lock_guard<std::mutex> lock(this->budget->mutex);
-    this->budget->candidates.insert(this);
-  }
-}
+    : budget(budget), use(use), break_off(std::move(break_off)) {}
 
 MemoryBudget::Holder::~Holder() {
   this->Resize(0);
@@ -106,21 +110,45 @@
   if (this->budget == nullptr || new_bytes == this->bytes) {
     return;
   }
+  const bool can_be_broken_off = this->break_off && !this->is_broken_off;
+  if (this->is_candidate || (can_be_broken_off && new_bytes >= kMinBrokenOff)) {
+    this->ResizeCandidate(new_bytes);
+    return;
+  }
+  if (!this->is_broken_off) {
+    this->budget->held += new_bytes - this->bytes;
+  }
+  this->bytes = new_bytes;
+  if (this->budget->held > this->budget->limit) {
+    const std::lock_guard<std::mutex> lock(this->budget->mutex);
+    this->budget->MakeRoom(this);
+  }
+  this->budget->RecordMostHeld();
+}
+
+void MemoryBudget::Holder::ResizeCandidate(std::size_t new_bytes) {
   const std::lock_guard<std::mutex> lock(this->budget->mutex);
   if (!this->is_broken_off) {
     this->budget->held += new_bytes - this->bytes;
+    this->is_candidate = new_bytes >= kMinBrokenOff;
+    if (this->is_candidate) {
+      this->budget->candidates.insert(this);
+    } else {
+      this->budget->candidates.erase(this);
+    }
   }
   this->bytes = new_bytes;
   this->budget->MakeRoom(this);
-  this->budget->most_held =
-      std::max(this->budget->most_held, this->budget->held);
+  this->budget->RecordMostHeld();
 }
 
 void MemoryBudget::Holder::Keep() {
-  if (this->budget != nullptr) {
+  if (this->is_candidate) {
     const std::lock_guard<std::mutex> lock(this->budget->mutex);
     this->budget->candidates.erase(this);
+    this->is_candidate = false;
   }
+  this->break_off = nullptr;
 }
 
 }  // namespace daisywinch
--- a/src/state/memory_budget.h
+++ b/src/state/memory_budget.h
@@ -71,24 +71,33 @@
    private:
     friend class MemoryBudget;
 
+    /// Resizes a message that is a candidate or becomes one.
+    void ResizeCandidate(std::size_t new_bytes);
+
     MemoryBudget* budget;
     std::string_view use;
     std::function<void()> break_off;
     std::size_t bytes = 0;
+    /// While this is set, other threads use the holder under the mutex of the
+    /// budget.
+    std::atomic<bool> is_candidate = false;
     std::atomic<bool> is_broken_off = false;
   };
 
  private:
+  void RecordMostHeld();
   /// Breaks off the largest messages until the others fit. `asking` is
-  /// preferred among those of the same size.
+  /// preferred among those of the same size. The mutex must be locked.
   void MakeRoom(const Holder* asking);
 
-  mutable std::mutex mutex;
-  std::size_t limit;
+  const std::size_t limit;
   /// Bytes of all holders, except of those that are to be broken off.
-  std::size_t held = 0;
-  std::size_t most_held = 0;
-  /// Holders that can be broken off.
+  std::atomic<std::size_t> held = 0;
+  std::atomic<std::size_t> most_held = 0;
+  /// Guards the members below and the candidates. Messages too small to be
+  /// broken off don't need it, as they are most of the traffic.
+  mutable std::mutex mutex;
+  /// Holders that can be broken off: those of kMinBrokenOff bytes or more.
   std::set<Holder*> candidates;
   std::map<std::string, std::uint64_t, std::less<>> broken_off_by_use;
 };
--- a/src/transport/frame_stream.cc
+++ b/src/transport/frame_stream.cc
@@ -39,7 +39,14 @@
       last_received(BootTime::now()),
       last_resumed(this->last_received),
       decoder(size_limit),
-      memory(memory) {
+      memory(memory, "peer", [this] {
+        asio::post(
+            this->socket.get_executor(), [weak = this->weak_from_this()] {
+              if (const std::shared_ptr<FrameStream> self = weak.lock()) {
+                self->Close();
+              }
+            });
+      }) {
   if (tls != nullptr) {
     this->tls_stream = std::make_unique<TlsStream>(this->socket, *tls);
   }
@@ -96,17 +103,9 @@
 }
 
 Awaitable<std::optional<protocol::CallFrame>> FrameStream::Read() {
-  MemoryBudget::Holder holder(
-      this->memory, "peer", [weak = this->weak_from_this(), this] {
-        asio::post(this->socket.get_executor(), [weak] {
-          if (const std::shared_ptr<FrameStream> self = weak.lock()) {
-            self->Close();
-          }
-        });
-      });
   while (!this->closed) {
     std::optional<protocol::CallFrame> frame = this->decoder.Next();
-    holder.Resize(this->decoder.HeldBytes());
+    this->memory.Resize(this->decoder.HeldBytes());
     if (frame) {
       co_return frame;
     }
--- a/src/transport/frame_stream.h
+++ b/src/transport/frame_stream.h
@@ -97,7 +97,8 @@
   TimePoint last_received;
   TimePoint last_resumed;
   FrameDecoder decoder;
-  MemoryBudget* memory;
+  /// Counts the bytes in the decoder.
+  MemoryBudget::Holder memory;
   std::deque<QueuedFrame> queue;
   std::array<char, 16 * 1024> read_buffer = {};
   bool writing = false;
