--- a/src/node/platform_watcher.cc
+++ b/src/node/platform_watcher.cc
@@ -58,8 +58,8 @@
 
 Awaitable<> PlatformWatcher::Watch() {
   while (true) {
-    // After a failure, a read shows sooner than a watch that the platform is
-    // back, and it may take longer to respond.
+    // After a failure the value is read without a watch: the response shows at
+    // once that the platform is back, and has more time to arrive.
     const bool is_watching =
         this->revision != 0 && this->reachable && this->should_watch();
     const Duration wait =
