Make every bound of the mesh settings optional

On the deployments of two new customers no node started: their platform states no cold_over, the template left the field without a value, and each node ended with an error at /bounds/cold_over. No test started a node with the settings of a fleet that uses fewer features.

The default retry ratio is 0.1, as 0 would forbid all retries where no ratio is stated. A wrong value is still reported with its place.

--- a/src/state/mesh_settings.cc
+++ b/src/state/mesh_settings.cc
@@ -11,28 +11,41 @@
 constexpr NumberRange kPortRange = {1, 65535};
 constexpr NumberRange kCountRange = {0, 1e6};
 
-Duration ReadDuration(ObjectReader& reader, std::string_view name) {
-  const std::string text = reader.String(name);
-  const std::optional<Duration> duration = ParseDuration(text);
+/// A duration, or the fallback if the field is missing or empty.
+Duration ReadDuration(ObjectReader& reader,
+                      std::string_view name,
+                      Duration fallback) {
+  if (!reader.HasText(name)) {
+    return fallback;
+  }
+  const std::optional<Duration> duration = ParseDuration(reader.String(name));
   if (!duration) {
     reader.AddError(name, "is not a duration",
                     "write a number and its unit, such as \"2.5s\" or "
                     "\"200ms\"");
   }
-  return duration.value_or(Duration::zero());
+  return duration.value_or(fallback);
 }
 
+/// Bounds that a deployment doesn't state keep their defaults.
 MeshBounds ReadBounds(ObjectReader& reader) {
   MeshBounds bounds;
-  bounds.drain = ReadDuration(reader, "drain");
-  bounds.grace = ReadDuration(reader, "grace");
-  bounds.retry_ratio = reader.Number("retry_ratio", kRatioRange);
-  bounds.retry_slack = reader.Number("retry_slack", kCountRange);
-  bounds.retry_window = ReadDuration(reader, "retry_window");
-  bounds.quota_window = ReadDuration(reader, "quota_window");
-  bounds.quota_over = reader.Number("quota_over", kRatioRange);
-  bounds.quota_slack = reader.Number("quota_slack", kCountRange);
-  bounds.cold_over = reader.Number("cold_over", kRatioRange);
+  bounds.drain = ReadDuration(reader, "drain", bounds.drain);
+  bounds.grace = ReadDuration(reader, "grace", bounds.grace);
+  bounds.retry_ratio =
+      reader.NumberOrText("retry_ratio", kRatioRange, bounds.retry_ratio);
+  bounds.retry_slack =
+      reader.NumberOrText("retry_slack", kCountRange, bounds.retry_slack);
+  bounds.retry_window =
+      ReadDuration(reader, "retry_window", bounds.retry_window);
+  bounds.quota_window =
+      ReadDuration(reader, "quota_window", bounds.quota_window);
+  bounds.quota_over =
+      reader.NumberOrText("quota_over", kRatioRange, bounds.quota_over);
+  bounds.quota_slack =
+      reader.NumberOrText("quota_slack", kCountRange, bounds.quota_slack);
+  bounds.cold_over =
+      reader.NumberOrText("cold_over", kRatioRange, bounds.cold_over);
   return bounds;
 }
 
@@ -62,9 +75,11 @@
   settings.platform_address = ReadAddress(reader, "platform_address");
   settings.ip = settings.peer_address.ip;
   settings.first_start = reader.Boolean("first_start", false);
-  ObjectReader bounds_reader = reader.Object("bounds");
-  settings.bounds = ReadBounds(bounds_reader);
-  bounds_reader.ReportUnknownFields();
+  if (reader.Has("bounds")) {
+    ObjectReader bounds_reader = reader.Object("bounds");
+    settings.bounds = ReadBounds(bounds_reader);
+    bounds_reader.ReportUnknownFields();
+  }
   reader.ReportUnknownFields();
   if (!errors.empty()) {
     return std::nullopt;
--- a/src/state/mesh_settings.h
+++ b/src/state/mesh_settings.h
@@ -22,14 +22,17 @@
 /// platform's store, and nested calls carry no reference to their request.
 constexpr char kMeshInterface[] = "mesh";
 
-/// Time limits and tolerances that the operators of a fleet set.
+/// Time limits and tolerances that the operators of a fleet set. Each may be
+/// left out, as a fleet states only those of the features that it uses.
 struct MeshBounds {
   /// Maximum time until a leaving target gets no more requests.
   Duration drain = std::chrono::seconds(2);
   /// Time between the stop signal and the end of the process.
   Duration grace = std::chrono::seconds(6);
-  /// Maximum number of retries that a service may get per request to it.
-  double retry_ratio = 0;
+  /// Maximum number of retries that a service may get per request to it. The
+  /// default is the usual client retry budget ("Site Reliability Engineering",
+  /// chapter 21).
+  double retry_ratio = 0.1;
   /// Retries that a service may get beyond the ratio, over the whole fleet.
   double retry_slack = 0;
   /// Window over which the requests and retries of that limit are counted.
--- a/src/state/object_reader.cc
+++ b/src/state/object_reader.cc
@@ -1,6 +1,7 @@
 #include "state/object_reader.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 
 namespace daisywinch {
@@ -133,7 +134,12 @@
     this->AddError(name, "is not a number", "write a number without quotes");
     return range.min;
   }
-  const double number = value->to_number<double>();
+  return this->CheckRange(name, range, value->to_number<double>());
+}
+
+double ObjectReader::CheckRange(std::string_view name,
+                                const NumberRange& range,
+                                double number) {
   if (!(number >= range.min && number <= range.max)) {
     this->AddError(name, "is out of range",
                    "use a number from " + FormatNumber(range.min) + " to " +
@@ -152,6 +158,27 @@
   return this->Number(name, range);
 }
 
+double ObjectReader::NumberOrText(std::string_view name,
+                                  const NumberRange& range,
+                                  double fallback) {
+  const boost::json::value* value = this->Find(name, false);
+  if (value == nullptr || !value->is_string()) {
+    return this->Number(name, range, fallback);
+  }
+  const boost::json::string& text = value->get_string();
+  if (text.empty()) {
+    return fallback;
+  }
+  double number = 0;
+  const std::from_chars_result result =
+      std::from_chars(text.begin(), text.end(), number);
+  if (result.ec != std::errc() || result.ptr != text.end()) {
+    this->AddError(name, "is not a number", "write a number such as 0.25");
+    return range.min;
+  }
+  return this->CheckRange(name, range, number);
+}
+
 std::int64_t ObjectReader::Integer(std::string_view name,
                                    const NumberRange& range) {
   const double number = this->Number(name, range);
@@ -236,6 +263,12 @@
   return readers;
 }
 
+bool ObjectReader::HasText(std::string_view name) {
+  const boost::json::value* value = this->Find(name, false);
+  return value != nullptr &&
+         !(value->is_string() && value->get_string().empty());
+}
+
 bool ObjectReader::Has(std::string_view name) const {
   return this->object != nullptr &&
          this->object->if_contains({name.data(), name.size()}) != nullptr;
--- a/src/state/object_reader.h
+++ b/src/state/object_reader.h
@@ -46,6 +46,11 @@
   double Number(std::string_view name,
                 const NumberRange& range,
                 double fallback);
+  /// A number, or a text that holds one, as templates write it. A missing field
+  /// or an empty text yields the fallback.
+  double NumberOrText(std::string_view name,
+                      const NumberRange& range,
+                      double fallback);
   std::int64_t Integer(std::string_view name, const NumberRange& range);
   std::int64_t Integer(std::string_view name,
                        const NumberRange& range,
@@ -70,12 +75,20 @@
   /// Adds an error for each field that was not read.
   void ReportUnknownFields();
   bool Has(std::string_view name) const;
+  /// Whether the field has a value other than an empty text. An empty field
+  /// counts as known.
+  bool HasText(std::string_view name);
 
   /// JSON pointer (RFC 6901) to the object.
   const std::string& Pointer() const { return this->pointer; }
 
  private:
   const boost::json::value* Find(std::string_view name, bool required);
+  /// Returns the number if it is in the range; otherwise the minimum, and adds
+  /// an error.
+  double CheckRange(std::string_view name,
+                    const NumberRange& range,
+                    double number);
   std::string PointerTo(std::string_view name) const;
 
   const boost::json::object* object = nullptr;
--- a/tests/end_to_end/mesh_path_test.cc
+++ b/tests/end_to_end/mesh_path_test.cc
@@ -355,6 +355,34 @@
   this->CheckColdRate(this->east);
 }
 
+// Guards against nodes that end at their start in a fleet that states no
+// bounds, or leaves optional fields of its configuration out.
+BOOST_AUTO_TEST_CASE(node_starts_with_every_optional_field_left_out) {
+  boost::json::object settings = this->fleet.MakeSettings(this->east);
+  for (const char* const name : {"missing", "empty"}) {
+    this->east.node_process.reset();
+    if (name == std::string("missing")) {
+      settings.erase("bounds");
+    } else {
+      settings["bounds"] = {
+          {"cold_over", ""}, {"retry_slack", ""}, {"drain", ""}};
+    }
+    this->fleet.WriteSettings(this->east, boost::json::serialize(settings));
+    this->fleet.RunNode(this->east);
+    BOOST_TEST(WaitUntil([&] { return this->fleet.IsReady(this->east); }),
+               name);
+  }
+  this->fleet.PutKey("op/config", R"({"Version": "00000002", "Routes": {
+      "look": {"Host": "shop.example", "Prefix": "/look/", "Kind": "safe",
+               "Service": "front"}},
+      "Services": {"front": {}}})");
+  BOOST_TEST(WaitUntil([&] {
+    Call call;
+    call.path = "/look/without-a-key";
+    return this->fleet.SendAttempt(this->east, call).result_int() == 200;
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(graceful_shutdown_fails_no_request) {
   this->fleet.SetTargetBehaviour(this->east, "service_ms=800");
   this->fleet.SetTargetBehaviour(this->west, "service_ms=800");
