Start no request at a stopping node that may outlast it

Cause: for 2.24 s after the signal a gate of the mesh interface started new requests whatever their deadline. Their trees have calls to make when the node only takes calls whose deadline fits. The handle interface refuses new calls from the signal on.

The regression test planned_stop/requests_that_may_outlast_the_node_are_not_started fails with the node of: 200 instead of 503, and one run instead of none.

Change: from the signal on, a gate starts only requests whose deadline ends before requests are cut, and refuses the others at once as not run; they go to another target, or return to the next node. Calls of a request that is started then end before its deadline, so none can be cut. Ingresses pause for a gate that refuses this way as for one that can't be reached.

--- a/src/node/mesh_gate.cc
+++ b/src/node/mesh_gate.cc
@@ -143,7 +143,7 @@
 
 double MeshGate::UsableSlots() {
   this->UpdateAdmission(this->clock.Now());
-  return this->ReasonToRefuse() == RefusalReason::kNone
+  return this->ReasonToRefuse() == RefusalReason::kNone && !this->stop_schedule
              ? this->admission.UsableSlots()
              : 0;
 }
@@ -157,6 +157,9 @@
       this->clock.Now() +
       std::chrono::microseconds(request.remaining_microseconds());
   RefusalReason reason = this->ReasonToRefuse();
+  if (this->stop_schedule && !this->stop_schedule->MayStartRequest(deadline)) {
+    reason = RefusalReason::kDraining;
+  }
   if (this->fatal_requests.IsFatal(request.digest(), this->clock.Now())) {
     reason = RefusalReason::kFatalRequest;
   }
--- a/src/node/mesh_gate.h
+++ b/src/node/mesh_gate.h
@@ -25,6 +25,7 @@
 #include "state/refusal.h"
 #include "state/route_classes.h"
 #include "state/route_cost_estimator.h"
+#include "state/stop_schedule.h"
 #include "state/target_notices.h"
 #include "transport/asio.h"
 #include "transport/cancellation.h"
@@ -58,6 +59,10 @@
       protocol::CallRequest request,
       std::shared_ptr<Cancellation> cancellation);
 
+  /// Refuses calls from now on that could outlast the node. Others are still
+  /// taken, as there may be no other target.
+  void Stop(const StopSchedule& schedule) { this->stop_schedule = schedule; }
+
   /// Refuses new calls from now on.
   ///
   /// Thread-safe, as is CallsInProgress().
@@ -175,6 +180,8 @@
   std::optional<double> logged_max_rate;
   TimePoint max_rate_logged_at;
   bool logged_leaving = false;
+  /// Set while the node stops.
+  std::optional<StopSchedule> stop_schedule;
   std::atomic<int> calls_in_progress = 0;
   std::atomic<bool> draining = false;
 };
--- a/src/node/mesh_ingress.cc
+++ b/src/node/mesh_ingress.cc
@@ -63,7 +63,10 @@
                                           : GateResult::kServed;
   }
   const RefusalReason reason = static_cast<RefusalReason>(reply.reason());
+  // A gate that is stopping is tried again after a pause, or if there is no
+  // other.
   if (reason == RefusalReason::kTargetUnreachable ||
+      reason == RefusalReason::kDraining ||
       (!reply.has_load() && reply.outcome() == protocol::OUTCOME_UNKNOWN)) {
     return GateResult::kUnreachable;
   }
--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -335,6 +335,10 @@
                                          Duration time_left) {
   const TimePoint deadline = started + time_left;
   this->caller_server.AnnounceClose();
+  const StopSchedule schedule(started, time_left,
+                              deadline - HttpServer::kCancellationMargin);
+  this->gate.Stop(schedule);
+  this->SendLocalUpdate();
   ErrorCode ignored;
   Timer target_end(this->traffic_context,
                    started + std::chrono::duration_cast<Duration>(
@@ -345,8 +349,7 @@
   Timer serving_end(this->traffic_context, started + serving_time);
   co_await serving_end.async_wait(Await(ignored));
   this->is_refusing = true;
-  this->ingress.Drain(StopSchedule(started, time_left,
-                                   deadline - HttpServer::kCancellationMargin));
+  this->ingress.Drain(schedule);
   this->SendLocalUpdate();
   const auto is_gate_busy = [this] {
     return this->gate.CallsInProgress() > 0 ||
--- a/src/state/stop_schedule.h
+++ b/src/state/stop_schedule.h
@@ -5,19 +5,27 @@
 
 namespace daisywinch {
 
-/// When a stopping node takes nested calls of its local target.
+/// What a stopping node takes: new requests for its local target, and nested
+/// calls of that target.
 ///
-/// They belong to requests in progress, so they are taken for longer than root
-/// requests. Towards the end, only those are taken that can't outlast the node,
-/// by their deadline: how long a call takes is not known in advance, however
-/// long others took.
+/// A new request is taken only if it can't outlast the node, by its deadline:
+/// how long its tree takes is not known in advance, however long others took,
+/// and a tree that loses its later calls fails after it has done most of its
+/// work. Nested calls belong to requests in progress, so at first they are taken
+/// whatever their deadline.
 class StopSchedule {
  public:
   /// The node exits `time_left` after `started`; requests that have no response
   /// by `answers_end` are cancelled.
   StopSchedule(TimePoint started, Duration time_left, TimePoint answers_end);
 
-  /// Whether a call that arrives now may be passed on.
+  /// Whether the local target may start a request that arrives after the stop
+  /// signal. Its nested calls end before its deadline and are taken then.
+  bool MayStartRequest(TimePoint request_deadline) const {
+    return request_deadline <= this->answers_end;
+  }
+
+  /// Whether a nested call that arrives now may be passed on.
   bool MayTakeCall(TimePoint now, TimePoint call_deadline) const {
     return now < this->any_call_until || call_deadline <= this->answers_end;
   }
--- a/tests/end_to_end/planned_stop_test.cc
+++ b/tests/end_to_end/planned_stop_test.cc
@@ -389,6 +389,41 @@
   }
 }
 
+// Trees that were begun after the signal lost their nested calls late in the
+// grace period: no caller of such a tree got an answer.
+BOOST_AUTO_TEST_CASE(requests_that_may_outlast_the_node_are_not_started) {
+  constexpr std::chrono::seconds kLongTimeout{6};
+  constexpr std::chrono::seconds kShortTimeout{3};
+  this->fleet.PutKey("op/config", R"({"Version": "00000002", "Routes": {
+      "look": {"Host": "shop.example", "Prefix": "/look/", "Kind": "safe",
+               "Service": "front", "Timeout": "6000ms", "MaxAttempts": 2}},
+      "Services": {"front": {}}})");
+  this->fleet.PublishTarget(this->Vm(1), true, 2);
+  Call call;
+  call.path = "/look/1";
+  BOOST_REQUIRE(WaitUntil([&] {
+    return this->fleet.SendAttempt(this->Vm(2), call).result() ==
+           http::status::ok;
+  }));
+  this->Vm(0).node_process->Signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(300));
+  const auto send = [&](const std::string& id, Duration timeout) {
+    return Send(this->Vm(2).caller_address,
+                AddAttemptHeaders(call, id, timeout))
+        .result_int();
+  };
+  const TimePoint started = BootTime::now();
+  BOOST_TEST(send("long", kLongTimeout) == 503);
+  BOOST_TEST((BootTime::now() - started < milliseconds(500)));
+  BOOST_TEST(send("short", kShortTimeout) == 200);
+  this->fleet.PublishTarget(this->Vm(1), false, 3);
+  BOOST_TEST(WaitUntil([&] { return send("moved", kLongTimeout) == 200; },
+                       std::chrono::seconds(1)));
+  std::map<std::string, int> runs = this->CountRuns();
+  BOOST_TEST(runs["long"] == 0);
+  this->CheckExit(this->Vm(0));
+}
+
 BOOST_AUTO_TEST_CASE(overlapping_restarts_lose_no_request) {
   for (const std::uint64_t seed : ChooseSeeds(kDefaultSeeds)) {
     BOOST_TEST_CONTEXT("seed " << seed) {
--- a/tests/state/stop_schedule_test.cc
+++ b/tests/state/stop_schedule_test.cc
@@ -39,6 +39,14 @@
   }
 }
 
+// A tree that was begun after the signal lost its later calls.
+BOOST_AUTO_TEST_CASE(requests_are_started_only_if_their_deadline_fits) {
+  const TimePoint answers_end = kStart + milliseconds(5600);
+  const StopSchedule schedule(kStart, milliseconds(5700), answers_end);
+  BOOST_TEST(schedule.MayStartRequest(answers_end));
+  BOOST_TEST(!schedule.MayStartRequest(answers_end + milliseconds(1)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace daisywinch
