Order waiting calls by priority and objective of their tree

Cause: at a service that runs both roots and nested calls, every nested call preceded every root, whatever its tree.

Change: nested calls take the priority and the objective of their tree with them. Within a priority, calls that can meet the objective come first, by its end. A call of an unknown tree keeps the highest priority.

The two cases of SlotQueue that fixed the order of before are replaced by four that fix the new one.

--- a/src/coordination/fleet_load.cc
+++ b/src/coordination/fleet_load.cc
@@ -136,6 +136,42 @@
   return found != this->leaves.end() && found->second;
 }
 
+LeafRetryRatios FleetLoad::RetryRatios(const std::string& service,
+                                       double ratio) const {
+  const auto found = this->leaf_calls.find(service);
+  return found == this->leaf_calls.end()
+             ? LeafRetryRatios{ratio, ratio}
+             : DivideLeafRetries(ratio, found->second.roots,
+                                 found->second.nested);
+}
+
+void FleetLoad::CountLeafCalls(const MeshConfiguration& configuration,
+                               const LoadSum& sum) {
+  this->leaf_calls.clear();
+  for (const auto& [service, nested] : sum.nested) {
+    this->leaf_calls[service].nested = nested.calls;
+  }
+  for (const MeshRoute& route : configuration.Routes()) {
+    const auto known = this->leaves.find(route.name);
+    if (known != this->leaves.end() && !known->second) {
+      for (const WeightedService& weighted : route.traffic_split) {
+        this->leaf_calls.erase(weighted.service);
+      }
+    }
+  }
+  for (const auto& [root_class, traffic] : sum.roots) {
+    const MeshRoute* route = configuration.FindRouteByName(root_class.route);
+    if (route == nullptr || route->traffic_split.size() != 1) {
+      continue;
+    }
+    const auto found =
+        this->leaf_calls.find(route->traffic_split.front().service);
+    if (found != this->leaf_calls.end()) {
+      found->second.roots += traffic.offered;
+    }
+  }
+}
+
 void FleetLoad::CorrectSupply(const LoadSum& sum,
                               TreeCosts& tree_costs,
                               const SlotsByService& slots_by_service,
@@ -177,6 +213,7 @@
     TimePoint now) {
   const LoadSum sum = this->CurrentSum(now);
   this->leaves = FindLeaves(sum);
+  this->CountLeafCalls(configuration, sum);
   TreeCosts tree_costs(configuration, sum.costs);
   SlotsByService slots = sum.slots;
   for (const std::string& service : NestedServices(configuration, sum)) {
--- a/src/coordination/fleet_load.h
+++ b/src/coordination/fleet_load.h
@@ -8,6 +8,7 @@
 #include "coordination/tree_costs.h"
 #include "state/clock.h"
 #include "state/mesh_configuration.h"
+#include "state/retry_budget.h"
 #include "state/root_admission.h"
 
 namespace daisywinch {
@@ -54,6 +55,10 @@
   /// known.
   bool IsLeaf(const std::string& route, const std::string& service) const;
 
+  /// Ratios by which to retry calls to a service of which all runs are leaves,
+  /// where `ratio` of them may be retried. Both are `ratio` for other services.
+  LeafRetryRatios RetryRatios(const std::string& service, double ratio) const;
+
   /// Usable slots of each service at the last computation.
   const std::map<std::string, double>& LastUsableSlots() const {
     return this->last_usable_slots;
@@ -83,6 +88,16 @@
                      const SlotsByService& slots_by_service,
                      TimePoint now);
 
+  /// Calls per second to a service that runs leaf routes only.
+  struct LeafCalls {
+    double roots = 0;
+    double nested = 0;
+  };
+
+  /// Updates `leaf_calls`.
+  void CountLeafCalls(const MeshConfiguration& configuration,
+                      const LoadSum& sum);
+
   std::map<std::string, ReceivedLoad> received_loads;
   /// Fraction of the slots of each service that is regarded as usable.
   std::map<std::string, double> corrections;
@@ -92,6 +107,7 @@
   /// Whether runs make no nested calls, by class; classes with known costs
   /// only.
   std::map<std::string, bool> leaves;
+  std::map<std::string, LeafCalls> leaf_calls;
 };
 
 }  // namespace daisywinch
--- a/src/coordination/root_admitter.h
+++ b/src/coordination/root_admitter.h
@@ -40,7 +40,8 @@
   /// Records that an admitted root request was answered with success.
   void RecordServed(const RootClass& root_class, TimePoint now);
   /// Records the end of a nested call of the local target; `is_refused` if no
-  /// target of the service had a free slot for it.
+  /// target of the service had a free slot for it, or the targets refused it
+  /// themselves.
   void RecordNestedCall(const std::string& service,
                         bool is_refused,
                         TimePoint now);
--- a/src/node/mesh_gate.cc
+++ b/src/node/mesh_gate.cc
@@ -33,6 +33,11 @@
 /// Minimum interval between log lines about the rate that the target states.
 constexpr std::chrono::seconds kMaxRateLogInterval{1};
 
+CallTree TreeOf(const protocol::CallRequest& request, TimePoint now) {
+  return {request.priority(), now + std::chrono::microseconds(
+                                        request.tree_objective_microseconds())};
+}
+
 }  // namespace
 
 MeshGate::MeshGate(asio::io_context& context,
@@ -41,6 +46,7 @@
                    const MeshViewHolder& views,
                    RouteCostEstimator& cost_estimator,
                    FatalRequests& fatal_requests,
+                   RunningTrees& running_trees,
                    MemoryBudget& memory)
     : context(context),
       clock(clock),
@@ -48,6 +54,7 @@
       views(views),
       cost_estimator(cost_estimator),
       fatal_requests(fatal_requests),
+      running_trees(running_trees),
       target(context, settings.target_address, kBodyLimit, &memory),
       health_timer(context),
       log_limiter(clock.Now()) {}
@@ -192,7 +199,7 @@
   GateCall waiting;
   waiting.id = this->next_waiter_id++;
   waiting.is_root = request.is_root();
-  waiting.priority = request.priority();
+  waiting.tree = TreeOf(request, now);
   waiting.objective =
       std::chrono::microseconds(request.objective_microseconds());
   waiting.deadline = deadline;
@@ -284,6 +291,8 @@
       this->local_target == nullptr ? "" : this->local_target->service,
       started);
   this->cost_estimator.RunStarted(route, started);
+  const CallTree tree = TreeOf(request, started);
+  this->running_trees.RunStarted(deadline, tree);
   const auto accepts = [attempt_id = request.attempt_id()](
                            const http::response_header<>& header) {
     return platform::ClassifyResponse(header, attempt_id) !=
@@ -292,6 +301,7 @@
   TargetExchange exchange = co_await this->target.Send(
       platform::MakeTargetRequest(request, deadline - started), deadline,
       cancellation, accepts);
+  this->running_trees.RunEnded(deadline, tree);
   const TimePoint ended = this->clock.Now();
   const bool was_known = this->cold_state.ColdUntil().has_value();
   protocol::CallReply reply = this->MakeReply(request, started, exchange);
--- a/src/node/mesh_gate.h
+++ b/src/node/mesh_gate.h
@@ -25,6 +25,7 @@
 #include "state/refusal.h"
 #include "state/route_classes.h"
 #include "state/route_cost_estimator.h"
+#include "state/running_trees.h"
 #include "state/stop_schedule.h"
 #include "state/target_notices.h"
 #include "transport/asio.h"
@@ -46,6 +47,7 @@
            const MeshViewHolder& views,
            RouteCostEstimator& cost_estimator,
            FatalRequests& fatal_requests,
+           RunningTrees& running_trees,
            MemoryBudget& memory);
 
   /// Starts health checks, which are sent while it is uncertain whether the
@@ -154,6 +156,7 @@
   RouteCostEstimator& cost_estimator;
   RouteClasses route_classes;
   FatalRequests& fatal_requests;
+  RunningTrees& running_trees;
   std::shared_ptr<const MeshView> view;
   /// Record of the local target in the store; null while it is not registered.
   const MeshTarget* local_target = nullptr;
--- a/src/node/mesh_ingress.cc
+++ b/src/node/mesh_ingress.cc
@@ -95,6 +95,7 @@
                          const MeshViewHolder& views,
                          RouteCostEstimator& cost_estimator,
                          FatalRequests& fatal_requests,
+                         const RunningTrees& running_trees,
                          CallSender& sender)
     : clock(clock),
       service(settings.service),
@@ -107,6 +108,7 @@
       rate_limiter(settings.bounds),
       cost_estimator(cost_estimator),
       fatal_requests(fatal_requests),
+      running_trees(running_trees),
       return_schedule(seed),
       log_limiter(clock.Now()) {}
 
@@ -154,11 +156,12 @@
                          static_cast<int>(reply.status()) < kServerError;
   if (!call.is_root) {
     const RefusalReason reason = static_cast<RefusalReason>(reply.reason());
-    // The slots that a target reports already allow for its rate limit. A
-    // target that refuses a request itself had a slot for it.
-    const bool is_refused =
-        reply.outcome() == protocol::OUTCOME_NOT_RUN && !reply.load().cold() &&
-        !reply.load().has_max_rate() && reason == RefusalReason::kShedByGate;
+    // The slots that a target reports already allow for its rate limit.
+    const bool is_refused = reply.outcome() == protocol::OUTCOME_NOT_RUN &&
+                            !reply.load().cold() &&
+                            !reply.load().has_max_rate() &&
+                            (reason == RefusalReason::kShedByGate ||
+                             reason == RefusalReason::kShedByTarget);
     this->root_admitter.RecordNestedCall(call.service, is_refused, now);
   } else if (is_served) {
     this->root_admitter.RecordServed(call.load_class, now);
@@ -168,12 +171,6 @@
 
 void MeshIngress::SetBounds(const MeshBounds& new_bounds) {
   this->bounds = new_bounds;
-  for (auto& [service, budget] : this->inner_retry_budgets) {
-    budget.SetRatio(this->RetryRatio(false));
-  }
-  for (auto& [service, budget] : this->leaf_retry_budgets) {
-    budget.SetRatio(this->RetryRatio(true));
-  }
   this->rate_limiter.SetBounds(new_bounds);
   if (this->view != nullptr && this->view->Configuration() != nullptr) {
     this->rate_limiter.Configure(*this->view->Configuration(),
@@ -202,11 +199,9 @@
 }
 
 void MeshIngress::RetainConfigured(const MeshConfiguration& configuration) {
-  const auto has_no_service = [&configuration](const auto& entry) {
-    return configuration.FindService(entry.first) == nullptr;
-  };
-  std::erase_if(this->inner_retry_budgets, has_no_service);
-  std::erase_if(this->leaf_retry_budgets, has_no_service);
+  std::erase_if(this->retry_budgets, [&configuration](const auto& entry) {
+    return configuration.FindService(entry.first.first) == nullptr;
+  });
   std::set<std::string_view> customers;
   for (const MeshCustomer& customer : configuration.Customers()) {
     customers.insert(customer.name);
@@ -286,6 +281,7 @@
       return RefusalReason::kShedByIngress;
     }
   }
+  call.tree = this->TreeOf(call, headers.timeout);
   call.service = this->weighted_service_chooser.Choose(*call.route);
   protocol::CallRequest& message = call.message;
   message.set_route(call.route->name);
@@ -293,12 +289,24 @@
   message.set_repeatable(call.route->repeatable);
   message.set_attempt_id(call.attempt_id);
   message.set_caller_service(this->service);
-  message.set_priority(call.priority);
+  message.set_priority(call.tree.priority);
   message.set_is_root(call.is_root);
   platform::MoveToCallRequest(request, message);
   return RefusalReason::kNone;
 }
 
+CallTree MeshIngress::TreeOf(const Call& call,
+                             std::optional<Duration> timeout) const {
+  std::optional<CallTree> tree;
+  if (!call.is_root && timeout) {
+    tree = this->running_trees.Find(call.started + *timeout);
+  }
+  // A nested call of an unknown tree has the highest priority, as refusing it
+  // may waste any work.
+  return tree.value_or(CallTree{call.is_root ? call.priority : 0,
+                                call.started + ObjectiveOf(*call.route)});
+}
+
 bool MeshIngress::IsTooLateToTake(const Call& call) const {
   return this->stop_schedule &&
          (call.is_root ||
@@ -360,6 +368,10 @@
   message.set_target_id(target_id);
   message.set_objective_microseconds(ToMicroseconds(
       call.started + ObjectiveOf(*call.route) - this->clock.Now()));
+  message.set_tree_objective_microseconds(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          call.tree.objective_end - this->clock.Now())
+          .count());
   Vm vm;
   vm.name = target.address.ip;
   vm.peer_address = {target.address.ip, this->peer_port};
@@ -395,18 +407,23 @@
 }
 
 RetryBudget& MeshIngress::RetryBudgetFor(const Call& call) {
-  const bool is_leaf =
-      this->root_admitter.Load().IsLeaf(call.load_class.route, call.service);
-  std::unordered_map<std::string, RetryBudget>& budgets =
-      is_leaf ? this->leaf_retry_budgets : this->inner_retry_budgets;
-  return budgets
-      .try_emplace(call.service, this->RetryRatio(is_leaf),
-                   is_leaf ? kMaxSavedLeafRetries : kMaxSavedInnerRetries)
-      .first->second;
-}
-
-double MeshIngress::RetryRatio(bool is_leaf) const {
-  return RetryRatioPerLevel(this->bounds.retry_ratio, kTreeLevels, is_leaf);
+  const FleetLoad& load = this->root_admitter.Load();
+  const bool is_leaf = load.IsLeaf(call.load_class.route, call.service);
+  double ratio =
+      RetryRatioPerLevel(this->bounds.retry_ratio, kTreeLevels, is_leaf);
+  RetryKind kind = RetryKind::kInner;
+  if (is_leaf) {
+    const LeafRetryRatios ratios = load.RetryRatios(call.service, ratio);
+    ratio = call.is_root ? ratios.roots : ratios.nested;
+    kind = call.is_root ? RetryKind::kLeafRoot : RetryKind::kNestedLeaf;
+  }
+  RetryBudget& budget =
+      this->retry_budgets
+          .try_emplace({call.service, kind}, ratio,
+                       is_leaf ? kMaxSavedLeafRetries : kMaxSavedInnerRetries)
+          .first->second;
+  budget.SetRatio(ratio);
+  return budget;
 }
 
 HttpResponse MeshIngress::MakeResponse(const Call& call,
--- a/src/node/mesh_ingress.h
+++ b/src/node/mesh_ingress.h
@@ -27,6 +27,7 @@
 #include "state/return_schedule.h"
 #include "state/route_classes.h"
 #include "state/route_cost_estimator.h"
+#include "state/running_trees.h"
 #include "state/stop_schedule.h"
 #include "state/weighted_service_chooser.h"
 #include "transport/asio.h"
@@ -53,6 +54,7 @@
               const MeshViewHolder& views,
               RouteCostEstimator& cost_estimator,
               FatalRequests& fatal_requests,
+              const RunningTrees& running_trees,
               CallSender& sender);
 
   /// Handles one request: admits or refuses it, sends it to one or more targets
@@ -87,6 +89,8 @@
     std::string customer;
     std::string attempt_id;
     std::uint32_t priority = 0;
+    /// The call tree that the call belongs to.
+    CallTree tree;
     /// Class by which the load of the call is measured; see RouteClasses.
     RootClass load_class;
     bool is_root = true;
@@ -101,6 +105,8 @@
   /// Validates and admits the request and fills in `call`. Returns the reason
   /// for a refusal, or kNone.
   RefusalReason Admit(HttpRequest& request, Call& call);
+  /// The tree of an admitted call, which may take `timeout`.
+  CallTree TreeOf(const Call& call, std::optional<Duration> timeout) const;
   /// Records how an admitted call ended, for the admission of root requests.
   void RecordOutcome(const Call& call, const protocol::CallReply& reply);
   /// Whether this node stops and no longer takes the call.
@@ -130,7 +136,6 @@
   /// Logs the admitted fractions that have changed.
   void LogAdmissionChanges(TimePoint now);
   RetryBudget& RetryBudgetFor(const Call& call);
-  double RetryRatio(bool is_leaf) const;
   HttpResponse MakeResponse(const Call& call, protocol::CallReply reply);
   HttpResponse MakeRefusal(const Call& call,
                            RefusalReason reason,
@@ -157,6 +162,7 @@
   RouteCostEstimator& cost_estimator;
   RouteClasses route_classes;
   FatalRequests& fatal_requests;
+  const RunningTrees& running_trees;
   /// Requests whose verdict has been logged.
   std::set<RequestDigest> logged_verdicts;
   RootAdmitter root_admitter;
@@ -167,10 +173,11 @@
   /// Time of the computation whose fractions were last compared with the logged
   /// ones.
   TimePoint admission_compared_at;
-  /// Budgets by service, for routes that make nested calls and for those that
-  /// make none.
-  std::unordered_map<std::string, RetryBudget> inner_retry_budgets;
-  std::unordered_map<std::string, RetryBudget> leaf_retry_budgets;
+  /// Calls that have a retry budget of their own at each service: those of
+  /// routes that make nested calls, and of leaf routes.
+  enum class RetryKind { kInner, kLeafRoot, kNestedLeaf };
+
+  std::map<std::pair<std::string, RetryKind>, RetryBudget> retry_budgets;
   CallMetrics metrics;
   LogRateLimiter log_limiter;
   /// Set while the node stops.
--- a/src/node/mesh_node.cc
+++ b/src/node/mesh_node.cc
@@ -75,6 +75,7 @@
            this->views,
            this->cost_estimator,
            this->fatal_requests,
+           this->running_trees,
            this->memory),
       router(
           this->traffic_context,
@@ -96,6 +97,7 @@
               this->views,
               this->cost_estimator,
               this->fatal_requests,
+              this->running_trees,
               this->router),
       caller_server(this->traffic_context,
                     CallerServerLimits(this->memory),
--- a/src/node/mesh_node.h
+++ b/src/node/mesh_node.h
@@ -76,6 +76,7 @@
   RouteCostEstimator cost_estimator;
   /// Used by the traffic thread only.
   FatalRequests fatal_requests;
+  RunningTrees running_trees;
   MeshGate gate;
   GateRouter router;
   MeshIngress ingress;
--- a/src/state/gate_admission.cc
+++ b/src/state/gate_admission.cc
@@ -103,7 +103,7 @@
 std::optional<std::uint64_t> GateAdmission::Enqueue(const GateCall& call,
                                                     TimePoint now) {
   return this->queue.Add(
-      {call.id, call.is_root, call.priority, this->StartDeadline(call, now)});
+      {call.id, call.is_root, call.tree, this->StartDeadline(call, now)}, now);
 }
 
 GateAdmission::Released GateAdmission::ReleaseQueued(TimePoint now) {
--- a/src/state/gate_admission.h
+++ b/src/state/gate_admission.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "state/clock.h"
+#include "state/running_trees.h"
 #include "state/slot_queue.h"
 #include "state/target_rate_limiter.h"
 
@@ -17,8 +18,7 @@
   std::uint64_t id = 0;
   /// The call begins a call tree, so that refusing it wastes no work.
   bool is_root = false;
-  /// 0 is the highest priority.
-  std::uint32_t priority = 0;
+  CallTree tree;
   /// Time left until the latency objective is missed.
   Duration objective = Duration::zero();
   /// Time at which the caller gives up.
--- a/src/state/retry_budget.cc
+++ b/src/state/retry_budget.cc
@@ -9,6 +9,9 @@
 
 /// Fraction of the logarithm of the allowed factor that leaf routes use.
 constexpr double kLeafFraction = 0.6;
+/// Part of the retries of a service that its root requests may use, unless they
+/// are most of its calls.
+constexpr double kMaxRootFraction = 0.5;
 
 }  // namespace
 
@@ -33,4 +36,16 @@
   return std::pow(1 + ratio, exponent) - 1;
 }
 
+LeafRetryRatios DivideLeafRetries(double ratio,
+                                  double root_rate,
+                                  double nested_rate) {
+  if (root_rate <= 0 || nested_rate <= 0) {
+    return {ratio, ratio};
+  }
+  const double retries = ratio * (root_rate + nested_rate);
+  const double root_retries =
+      std::clamp(kMaxRootFraction * retries, ratio * root_rate, root_rate);
+  return {root_retries / root_rate, (retries - root_retries) / nested_rate};
+}
+
 }  // namespace daisywinch
--- a/src/state/retry_budget.h
+++ b/src/state/retry_budget.h
@@ -36,6 +36,23 @@
 /// retry there repeats a single call and saves a whole tree.
 double RetryRatioPerLevel(double ratio, int levels, bool is_leaf);
 
+/// Ratios of retries to calls at a service that runs leaf routes only.
+struct LeafRetryRatios {
+  double roots = 0;
+  double nested = 0;
+};
+
+/// Divides the retries that a service may get between its root requests and its
+/// nested calls, which arrive at the given rates; answers targets that refuse
+/// calls at random.
+///
+/// One retry of a root request may save the whole request, one of a nested call
+/// only one of the calls that its tree needs. So roots get up to half of the
+/// retries first. The total is `ratio` of all calls, whatever the rates.
+LeafRetryRatios DivideLeafRetries(double ratio,
+                                  double root_rate,
+                                  double nested_rate);
+
 }  // namespace daisywinch
 
 #endif  // DAISYWINCH_STATE_RETRY_BUDGET_H
--- a/src/state/slot_queue.cc
+++ b/src/state/slot_queue.cc
@@ -5,10 +5,17 @@
 
 namespace daisywinch {
 
-std::optional<std::uint64_t> SlotQueue::Add(const WaitingRequest& request) {
-  this->requests.emplace(
-      OrderKey(request.is_root, request.priority, this->next_sequence++),
-      request);
+SlotQueue::OrderKey SlotQueue::KeyFor(const WaitingRequest& request,
+                                      TimePoint now) {
+  const bool is_missed = request.tree.objective_end <= now;
+  return {request.tree.priority, is_missed,
+          is_missed ? TimePoint() : request.tree.objective_end, request.is_root,
+          this->next_sequence++};
+}
+
+std::optional<std::uint64_t> SlotQueue::Add(const WaitingRequest& request,
+                                            TimePoint now) {
+  this->requests.emplace(this->KeyFor(request, now), request);
   if (this->requests.size() <= this->capacity) {
     return std::nullopt;
   }
@@ -24,11 +31,15 @@
   while (!this->requests.empty()) {
     const auto first = this->requests.begin();
     const WaitingRequest request = first->second;
+    const bool was_missed = std::get<1>(first->first);
     this->requests.erase(first);
-    if (now < request.start_deadline) {
+    if (now >= request.start_deadline) {
+      expired.push_back(request.id);
+    } else if (!was_missed && request.tree.objective_end <= now) {
+      this->requests.emplace(this->KeyFor(request, now), request);
+    } else {
       return request.id;
     }
-    expired.push_back(request.id);
   }
   return std::nullopt;
 }
--- a/src/state/stop_schedule.h
+++ b/src/state/stop_schedule.h
@@ -11,8 +11,8 @@
 /// A new request is taken only if it can't outlast the node, by its deadline:
 /// how long its tree takes is not known in advance, however long others took,
 /// and a tree that loses its later calls fails after it has done most of its
-/// work. Nested calls belong to requests in progress, so at first they are taken
-/// whatever their deadline.
+/// work. Nested calls belong to requests in progress, so at first they are
+/// taken whatever their deadline.
 class StopSchedule {
  public:
   /// The node exits `time_left` after `started`; requests that have no response
--- a/tests/state/mesh_decisions_test.cc
+++ b/tests/state/mesh_decisions_test.cc
@@ -222,27 +222,67 @@
   BOOST_TEST(counts["i-1"] <= 2);
 }
 
-BOOST_AUTO_TEST_CASE(nested_calls_precede_roots_in_priority_order) {
-  SlotQueue queue(10);
-  const TimePoint later = kStart + std::chrono::seconds(1);
-  queue.Add({1, true, 2, later});
-  queue.Add({2, true, 0, later});
-  queue.Add({3, false, 2, later});
-  queue.Add({4, true, 0, later});
+/// Ids of the queued requests in the order in which they start.
+std::vector<std::uint64_t> TakeAll(SlotQueue& queue, TimePoint now) {
   std::vector<std::uint64_t> order;
   std::vector<std::uint64_t> expired;
-  while (const std::optional<std::uint64_t> id = queue.Next(kStart, expired)) {
+  while (const std::optional<std::uint64_t> id = queue.Next(now, expired)) {
     order.push_back(*id);
   }
-  BOOST_TEST((order == std::vector<std::uint64_t>{3, 2, 4, 1}));
   BOOST_TEST(expired.empty());
+  return order;
+}
+
+BOOST_AUTO_TEST_CASE(queue_orders_by_priority_and_then_by_objective) {
+  SlotQueue queue(10);
+  const TimePoint later = kStart + std::chrono::seconds(1);
+  const auto tree = [](std::uint32_t priority, int milliseconds_left) {
+    return CallTree{priority, kStart + milliseconds(milliseconds_left)};
+  };
+  queue.Add({1, true, tree(2, 500), later}, kStart);
+  queue.Add({2, true, tree(0, 500), later}, kStart);
+  queue.Add({3, false, tree(2, 500), later}, kStart);
+  queue.Add({4, true, tree(0, 500), later}, kStart);
+  queue.Add({5, true, tree(2, 200), later}, kStart);
+  queue.Add({6, true, tree(0, -1), later}, kStart);
+  queue.Add({7, false, tree(0, -9), later}, kStart);
+  BOOST_TEST((TakeAll(queue, kStart) ==
+              std::vector<std::uint64_t>{2, 4, 7, 6, 5, 3, 1}));
+}
+
+// Roots with a short objective waited behind the nested calls of trees that had
+// seconds left.
+BOOST_AUTO_TEST_CASE(short_objective_precedes_nested_calls_of_long_ones) {
+  SlotQueue queue(100);
+  const TimePoint later = kStart + std::chrono::seconds(1);
+  for (std::uint64_t id = 0; id < 50; ++id) {
+    queue.Add({id, false, {1, kStart + milliseconds(1500)}, later}, kStart);
+  }
+  queue.Add({99, true, {1, kStart + milliseconds(250)}, later}, kStart);
+  std::vector<std::uint64_t> expired;
+  BOOST_TEST((queue.Next(kStart, expired) == 99U));
+}
+
+// A call that misses its objective while it waits would otherwise delay those
+// that can still meet theirs.
+BOOST_AUTO_TEST_CASE(call_that_misses_its_objective_in_the_queue_is_last) {
+  SlotQueue queue(10);
+  const TimePoint later = kStart + std::chrono::seconds(1);
+  queue.Add({1, true, {1, kStart + milliseconds(10)}, later}, kStart);
+  queue.Add({2, true, {1, kStart + milliseconds(900)}, later}, kStart);
+  queue.Add({3, true, {2, kStart + milliseconds(900)}, later}, kStart);
+  BOOST_TEST((TakeAll(queue, kStart + milliseconds(20)) ==
+              std::vector<std::uint64_t>{2, 1, 3}));
 }
 
 BOOST_AUTO_TEST_CASE(full_queue_rejects_the_last_and_drops_expired_requests) {
   SlotQueue queue(1);
-  BOOST_TEST(!queue.Add({1, true, 0, kStart + milliseconds(10)}).has_value());
-  BOOST_TEST((queue.Add({2, true, 2, kStart + milliseconds(10)}) == 2U));
-  BOOST_TEST((queue.Add({3, false, 2, kStart + milliseconds(10)}) == 1U));
+  const TimePoint soon = kStart + milliseconds(10);
+  const CallTree urgent = {0, kStart + milliseconds(500)};
+  const CallTree other = {2, kStart + milliseconds(500)};
+  BOOST_TEST(!queue.Add({1, true, urgent, soon}, kStart).has_value());
+  BOOST_TEST((queue.Add({2, true, other, soon}, kStart) == 2U));
+  BOOST_TEST((queue.Add({3, false, urgent, soon}, kStart) == 1U));
   std::vector<std::uint64_t> expired;
   BOOST_TEST(!queue.Next(kStart + milliseconds(20), expired).has_value());
   BOOST_TEST((expired == std::vector<std::uint64_t>{3}));
--- a/tests/support/load_simulation.cc
+++ b/tests/support/load_simulation.cc
@@ -449,7 +449,9 @@
   GateCall waiting;
   waiting.id = this->next_waiter++;
   waiting.is_root = call->is_root;
-  waiting.priority = call->route->priority;
+  waiting.tree.priority = call->root->route->priority;
+  waiting.tree.objective_end =
+      call->root->attempt_started + call->root->route->objective;
   waiting.objective = call->started + call->route->objective - this->now;
   waiting.deadline = call->deadline;
   node.waiting[waiting.id] = call;
