Show that uploads run after their clients have left

Cause: cancellations of calls wait behind the calls that are being written to the peer, and calls of a written batch can't be withdrawn. Ruled out: the uploads alone (TROUBLE=0 passes).

--- a/review/support-2/deployment.cc
+++ b/review/support-2/deployment.cc
@@ -529,42 +529,37 @@
   co_return !error && response.result() == http::status::ok;
 }
 
-Awaitable<> Send(std::string ip,
-                 http::verb method,
-                 std::string body,
-                 Seconds body_time,
-                 std::shared_ptr<Attempt> attempt) {
-  boost::beast::tcp_stream stream(co_await asio::this_coro::executor);
-  Request request(method, attempt->path, 11);
+Request MakeRequest(http::verb method,
+                    std::string body,
+                    const Attempt& attempt) {
+  Request request(method, attempt.path, 11);
   request.set(http::field::host, Deployment::kHost);
-  request.set(kAttemptId, attempt->id);
+  request.set(kAttemptId, attempt.id);
   request.set(
       "X-Daisywinch-Timeout-Budget-Ms",
       std::to_string(
-          std::chrono::duration_cast<milliseconds>(attempt->budget).count()));
+          std::chrono::duration_cast<milliseconds>(attempt.budget).count()));
   request.set(http::field::authorization,
               std::string("Bearer ") + Deployment::kKey);
   request.body() = std::move(body);
   request.prepare_payload();
-  ErrorCode error;
-  attempt->sent = SteadyClock::now();
-  stream.expires_after(
-      std::chrono::duration_cast<SteadyClock::duration>(attempt->budget) +
-      std::chrono::seconds(2));
-  co_await stream.async_connect(Endpoint(ip, Deployment::kOutboundPort),
-                                Await(error));
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(kBodyLimit);
-  boost::beast::flat_buffer buffer;
+  return request;
+}
+
+/// Writes the header, and then the body evenly over `body_time`.
+Awaitable<> WriteRequest(boost::beast::tcp_stream& stream,
+                         const Request& request,
+                         Seconds body_time,
+                         ErrorCode& error) {
   const TimePoint started = SteadyClock::now();
   http::request_serializer<http::string_body> serializer(request);
   serializer.split(true);
-  if (!error) {
-    co_await http::async_write_header(stream, serializer, Await(error));
-  }
+  co_await http::async_write_header(stream, serializer, Await(error));
   const std::string& content = request.body();
   for (std::size_t written = 0; !error && written < content.size();) {
-    const std::size_t count = std::min(kBodyPart, content.size() - written);
+    const std::size_t count =
+        std::min(body_time > Seconds(0) ? kBodyPart : content.size(),
+                 content.size() - written);
     co_await asio::async_write(
         stream, asio::buffer(content.data() + written, count), Await(error));
     written += count;
@@ -576,6 +571,48 @@
       co_await Sleep(wait);
     }
   }
+}
+
+Awaitable<> SendAndLeave(std::string ip,
+                         http::verb method,
+                         std::string body,
+                         Seconds stay,
+                         std::shared_ptr<Attempt> attempt) {
+  boost::beast::tcp_stream stream(co_await asio::this_coro::executor);
+  const Request request = MakeRequest(method, std::move(body), *attempt);
+  ErrorCode error;
+  stream.expires_after(std::chrono::seconds(5));
+  co_await stream.async_connect(Endpoint(ip, Deployment::kOutboundPort),
+                                Await(error));
+  if (!error) {
+    co_await WriteRequest(stream, request, Seconds(0), error);
+  }
+  attempt->sent = SteadyClock::now();
+  co_await Sleep(stay);
+  stream.close();
+  attempt->ended = SteadyClock::now();
+}
+
+Awaitable<> Send(std::string ip,
+                 http::verb method,
+                 std::string body,
+                 Seconds body_time,
+                 std::shared_ptr<Attempt> attempt) {
+  boost::beast::tcp_stream stream(co_await asio::this_coro::executor);
+  const Request request = MakeRequest(method, std::move(body), *attempt);
+  ErrorCode error;
+  attempt->sent = SteadyClock::now();
+  stream.expires_after(
+      std::chrono::duration_cast<SteadyClock::duration>(attempt->budget) +
+      std::chrono::seconds(2));
+  co_await stream.async_connect(Endpoint(ip, Deployment::kOutboundPort),
+                                Await(error));
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kBodyLimit);
+  boost::beast::flat_buffer buffer;
+  if (!error) {
+    co_await WriteRequest(stream, request, body_time, error);
+  }
   attempt->sent = SteadyClock::now();
   if (!error) {
     co_await http::async_read(stream, buffer, parser, Await(error));
--- a/review/support-2/deployment.h
+++ b/review/support-2/deployment.h
@@ -1,10 +1,12 @@
 #ifndef DAISYWINCH_REVIEW_SUPPORT_2_DEPLOYMENT_H
 #define DAISYWINCH_REVIEW_SUPPORT_2_DEPLOYMENT_H
 
+#include <signal.h>
 #include <sys/types.h>
 
 #include <chrono>
 #include <cstdint>
+#include <cstdlib>
 #include <deque>
 #include <functional>
 #include <list>
@@ -217,10 +219,59 @@
                  Seconds body_time,
                  std::shared_ptr<Attempt> attempt);
 
+/// Sends a request and closes the connection `stay` after its last byte,
+/// without waiting for an answer.
+Awaitable<> SendAndLeave(std::string ip,
+                         http::verb method,
+                         std::string body,
+                         Seconds stay,
+                         std::shared_ptr<Attempt> attempt);
+
 json::object MakeRoute(const std::string& prefix,
                        const std::string& kind,
                        const std::string& service);
 
+/// Runs a case, which `make` creates, and returns the exit code of its program.
+/// All nodes have ended then. TROUBLE=0 in the environment leaves out the
+/// disruption.
+template <typename Make>
+int RunCase(const std::string& record_file,
+            const std::string& program,
+            Make make) {
+  ::signal(SIGPIPE, SIG_IGN);
+  const char* trouble = std::getenv("TROUBLE");
+  const bool has_trouble = trouble == nullptr || std::string(trouble) != "0";
+  Record record(record_file);
+  asio::io_context context;
+  int result = 2;
+  std::string problem;
+  try {
+    Deployment deployment(context, program);
+    const auto test_case = make(context, deployment, has_trouble, record);
+    asio::co_spawn(context, test_case->Run(),
+                   [&](std::exception_ptr exception, int code) {
+                     try {
+                       if (exception) {
+                         std::rethrow_exception(exception);
+                       }
+                       result = code;
+                     } catch (const std::exception& error) {
+                       problem = error.what();
+                     }
+                     context.stop();
+                   });
+    context.run_for(std::chrono::seconds(100));
+  } catch (const std::exception& error) {
+    problem = error.what();
+  }
+  if (!problem.empty()) {
+    record.Add("the case couldn't run: " + problem);
+  }
+  record.Add("exit code " + std::to_string(result));
+  // Coroutines that still wait are left as they are.
+  std::_Exit(result);
+}
+
 }  // namespace review
 
 #endif  // DAISYWINCH_REVIEW_SUPPORT_2_DEPLOYMENT_H
--- a/review/support-2/stop_beside_large_messages.cc
+++ b/review/support-2/stop_beside_large_messages.cc
@@ -264,38 +264,15 @@
                  "RECORD\n";
     return 2;
   }
-  ::signal(SIGPIPE, SIG_IGN);
   const bool is_upload = std::string(argv[1]) == "uploads";
-  const char* trouble = std::getenv("TROUBLE");
-  review::Record record(argv[3]);
-  review::asio::io_context context;
-  int result = 2;
-  std::string problem;
-  try {
-    review::Deployment deployment(context, argv[2]);
-    review::Case test_case(
-        context, deployment, is_upload ? review::kUploads : review::kDownloads,
-        trouble == nullptr || std::string(trouble) != "0", record);
-    review::asio::co_spawn(context, test_case.Run(),
-                           [&](std::exception_ptr exception, int code) {
-                             try {
-                               if (exception) {
-                                 std::rethrow_exception(exception);
-                               }
-                               result = code;
-                             } catch (const std::exception& error) {
-                               problem = error.what();
-                             }
-                             context.stop();
-                           });
-    context.run_for(std::chrono::seconds(100));
-  } catch (const std::exception& error) {
-    problem = error.what();
-  }
-  if (!problem.empty()) {
-    record.Add("the case couldn't run: " + problem);
-  }
-  std::cout << "exit code " << result << std::endl;
-  // Nodes have ended; coroutines that wait are left as they are.
-  std::_Exit(result);
+  return review::RunCase(
+      argv[3], argv[2],
+      [is_upload](review::asio::io_context& context,
+                  review::Deployment& deployment, bool has_trouble,
+                  review::Record& record) {
+        return std::make_shared<review::Case>(
+            context, deployment,
+            is_upload ? review::kUploads : review::kDownloads, has_trouble,
+            record);
+      });
 }
