Show that downloads read slowly break off orders during a stop

Cause: when the memory for messages is exceeded, a large reply that is being read from another node is broken off by closing the connection to that node, with all calls on it. Ruled out: the time that the replies take (0.9 s at most), and the silence limits of cases 6 and 7, which close nothing here.

--- a/review/support-2/deployment.cc
+++ b/review/support-2/deployment.cc
@@ -29,6 +29,7 @@
 constexpr std::uint16_t kServerPort = 8547;
 constexpr std::uint16_t kStorePort = 8545;
 constexpr std::size_t kBodyPart = std::size_t{256} * 1024;
+constexpr int kSlowReceiveBuffer = 64 * 1024;
 constexpr std::size_t kBodyLimit = std::size_t{64} * 1024 * 1024;
 
 Tcp::endpoint Endpoint(const std::string& ip, std::uint16_t port) {
@@ -597,8 +598,15 @@
                  http::verb method,
                  std::string body,
                  Seconds body_time,
+                 double read_rate,
                  std::shared_ptr<Attempt> attempt) {
   boost::beast::tcp_stream stream(co_await asio::this_coro::executor);
+  if (read_rate > 0) {
+    // Otherwise the operating system reads ahead for the client.
+    stream.socket().open(Tcp::v4());
+    stream.socket().set_option(
+        asio::socket_base::receive_buffer_size(kSlowReceiveBuffer));
+  }
   const Request request = MakeRequest(method, std::move(body), *attempt);
   ErrorCode error;
   attempt->sent = SteadyClock::now();
@@ -615,7 +623,20 @@
   }
   attempt->sent = SteadyClock::now();
   if (!error) {
-    co_await http::async_read(stream, buffer, parser, Await(error));
+    co_await http::async_read_header(stream, buffer, parser, Await(error));
+  }
+  const TimePoint answered = SteadyClock::now();
+  for (std::size_t read = 0; !error && !parser.is_done();) {
+    read +=
+        co_await http::async_read_some(stream, buffer, parser, Await(error));
+    Seconds wait(0);
+    if (read_rate > 0) {
+      wait = answered + Seconds(static_cast<double>(read) / read_rate) -
+             SteadyClock::now();
+    }
+    if (wait > milliseconds(1)) {
+      co_await Sleep(wait);
+    }
   }
   attempt->ended = SteadyClock::now();
   if (!error) {
--- a/review/support-2/deployment.h
+++ b/review/support-2/deployment.h
@@ -212,11 +212,13 @@
   std::size_t body_bytes = 0;
 };
 
-/// Sends the body evenly over `body_time`.
+/// Sends the body evenly over `body_time`. Reads the answer as fast as it
+/// comes, or at `read_rate` bytes per second if that is above 0.
 Awaitable<> Send(std::string ip,
                  http::verb method,
                  std::string body,
                  Seconds body_time,
+                 double read_rate,
                  std::shared_ptr<Attempt> attempt);
 
 /// Sends a request and closes the connection `stay` after its last byte,
--- a/review/support-2/leave_beside_large_uploads.cc
+++ b/review/support-2/leave_beside_large_uploads.cc
@@ -75,10 +75,11 @@
     attempt->budget = Seconds(5);
     this->attempts.emplace_back(attempt, leaves);
     std::string body(bytes, 'b');
-    Spawn(this->context, leaves ? SendAndLeave(this->ip, http::verb::put,
-                                               std::move(body), kStay, attempt)
-                                : Send(this->ip, http::verb::put,
-                                       std::move(body), Seconds(0), attempt));
+    Spawn(this->context, leaves
+                             ? SendAndLeave(this->ip, http::verb::put,
+                                            std::move(body), kStay, attempt)
+                             : Send(this->ip, http::verb::put, std::move(body),
+                                    Seconds(0), 0, attempt));
   }
 
   std::string Time(TimePoint time) const {
--- a/review/support-2/stop_beside_large_messages.cc
+++ b/review/support-2/stop_beside_large_messages.cc
@@ -26,14 +26,17 @@
 
 namespace {
 
-/// 200 Mbit/s, the link of a machine in the sheet of the named site.
-constexpr double kLinkBytesPerSecond = 25e6;
 constexpr Seconds kGrace{6};
 constexpr Seconds kRouteTimeout{6};
 constexpr Seconds kPollInterval{1};
 constexpr Seconds kSteadyInterval{0.1};
 
 struct Mode {
+  /// Bandwidth of a machine's link in each direction, in bytes per second.
+  double link_rate;
+  /// Machines whose servers run the requests.
+  int back_count;
+  int order_count;
   /// Times of an order and of a short request at the server.
   Seconds order_time;
   Seconds short_time;
@@ -44,16 +47,31 @@
   Seconds begun_after;
   /// Time over which a client sends the body of an upload.
   Seconds body_time;
-  /// When the order is sent, after the SIGTERM.
+  /// Bytes per second that a client reads of a download; 0: all that come.
+  double read_rate;
+  /// When the orders are sent, after the SIGTERM.
   Seconds order_sent_after;
   bool is_upload;
 };
 
-const Mode kDownloads = {Seconds(2.4), Seconds(0.03), 14,           3'500'000,
-                         Seconds(1.0), Seconds(0),    Seconds(1.0), false};
-const Mode kUploads = {Seconds(2.4), Seconds(0.8), 1,
-                       30'000'000,   Seconds(1.2), Seconds(0.7),
-                       Seconds(0.9), true};
+const Mode kDownloads = {
+    25e6,         1,          1, Seconds(2.4), Seconds(0.03), 14, 3'500'000,
+    Seconds(1.0), Seconds(0), 0, Seconds(1.0), false};
+const Mode kUploads = {25e6,
+                       1,
+                       1,
+                       Seconds(2.4),
+                       Seconds(0.8),
+                       1,
+                       30'000'000,
+                       Seconds(1.2),
+                       Seconds(0.7),
+                       0,
+                       Seconds(0.9),
+                       true};
+const Mode kSlowReaders = {
+    125e6,        2,          4,   Seconds(2.4), Seconds(0.03), 10, 14'000'000,
+    Seconds(1.0), Seconds(0), 4e6, Seconds(0.9), false};
 
 class Case {
  public:
@@ -70,17 +88,30 @@
 
   Awaitable<int> Run() {
     Machine& front = this->deployment.Add(
-        "galway-a", "orders-front", kLinkBytesPerSecond, [](const Request&) {
+        "galway-a", "orders-front", this->mode.link_rate, [](const Request&) {
           return Work{Seconds(0.01), 100};
         });
-    Machine& back = this->deployment.Add(
-        "galway-a", "orders", kLinkBytesPerSecond,
-        [this](const Request& request) { return this->WorkOn(request); });
+    std::vector<const Server*> servers;
+    for (int number = 0; number < this->mode.back_count; ++number) {
+      const Machine& back = this->deployment.Add(
+          "galway-a", "orders-" + std::to_string(number), this->mode.link_rate,
+          [this](const Request& request) { return this->WorkOn(request); });
+      servers.push_back(back.server.get());
+    }
     json::object routes;
-    routes["r-image"] = MakeRoute("/image/", "download", "orders");
-    routes["r-upload"] = MakeRoute("/upload/", "upload", "orders");
-    routes["r-order"] = MakeRoute("/order/", "unsafe", "orders");
-    routes["r-status"] = MakeRoute("/status/", "safe", "orders");
+    for (int number = 0; number < this->mode.back_count; ++number) {
+      const std::string digit = std::to_string(number);
+      const std::string service = "orders-" + digit;
+      const auto add_route = [&](const std::string& name,
+                                 const std::string& kind) {
+        routes["r-" + name + digit] =
+            MakeRoute("/" + name + digit + "/", kind, service);
+      };
+      add_route("image", "download");
+      add_route("upload", "upload");
+      add_route("order", "unsafe");
+      add_route("status", "safe");
+    }
     co_await this->deployment.Start(routes);
     this->ip = front.ip;
     // Until the targets are known to be warm, few requests reach them.
@@ -95,33 +126,42 @@
       this->record.Add("0.00 SIGTERM to the node of machine 1");
     }
     Spawn(this->context, this->PollReadiness());
-    Spawn(this->context, this->SendAt(this->mode.order_sent_after, "/order/1",
-                                      http::verb::post, 300));
-    for (int number = 0; number < this->mode.count; ++number) {
-      const std::string suffix = std::to_string(number);
+    for (int number = 0; number < this->mode.order_count; ++number) {
       Spawn(this->context,
-            this->mode.is_upload
-                ? this->SendAt(this->mode.begun_after, "/upload/" + suffix,
-                               http::verb::put, this->mode.bytes)
-                : this->SendAt(this->mode.begun_after, "/image/" + suffix,
-                               http::verb::get, 0));
+            this->SendAt(this->mode.order_sent_after,
+                         this->PathOf("order", number), http::verb::post, 300));
+    }
+    for (int number = 0; number < this->mode.count; ++number) {
+      Spawn(this->context, this->mode.is_upload
+                               ? this->SendAt(this->mode.begun_after,
+                                              this->PathOf("upload", number),
+                                              http::verb::put, this->mode.bytes)
+                               : this->SendAt(this->mode.begun_after,
+                                              this->PathOf("image", number),
+                                              http::verb::get, 0));
     }
     co_await Sleep(kGrace + Seconds(1));
     this->is_steady = false;
     co_await Sleep(Seconds(1));
-    co_return this->Judge(*back.server);
+    co_return this->Judge(servers);
   }
 
  private:
+  /// Requests take turns between the services.
+  std::string PathOf(const std::string& name, int number) const {
+    return "/" + name + std::to_string(number % this->mode.back_count) + "/" +
+           std::to_string(number);
+  }
+
   Work WorkOn(const Request& request) const {
-    if (request.target().starts_with("/order/")) {
+    if (request.target().starts_with("/order")) {
       return {this->mode.order_time, 400};
     }
-    if (request.target().starts_with("/image/")) {
+    if (request.target().starts_with("/image")) {
       return {Seconds(0.1), this->mode.bytes};
     }
-    return {request.target().starts_with("/upload/") ? Seconds(0.1)
-                                                     : this->mode.short_time,
+    return {request.target().starts_with("/upload") ? Seconds(0.1)
+                                                    : this->mode.short_time,
             1500};
   }
 
@@ -143,17 +183,18 @@
     attempt->path = std::move(path);
     attempt->budget = Seconds(6);
     this->attempts.push_back(attempt);
-    co_await Send(
-        this->ip, method, std::string(body_bytes, 'b'),
-        body_bytes == this->mode.bytes ? this->mode.body_time : Seconds(0),
-        attempt);
+    const bool is_large_body = body_bytes == this->mode.bytes;
+    const bool is_download = attempt->path.starts_with("/image");
+    co_await Send(this->ip, method, std::string(body_bytes, 'b'),
+                  is_large_body ? this->mode.body_time : Seconds(0),
+                  is_download ? this->mode.read_rate : 0, attempt);
   }
 
   /// Short requests, each on its own connection, for as long as clients send.
   Awaitable<> SendSteadily() {
     for (int number = 0; this->is_steady; ++number) {
-      Spawn(this->context, this->SendOne("/status/" + std::to_string(number),
-                                         http::verb::get, 0));
+      Spawn(this->context,
+            this->SendOne(this->PathOf("status", number), http::verb::get, 0));
       co_await Sleep(kSteadyInterval);
     }
   }
@@ -179,10 +220,12 @@
     return text;
   }
 
-  int Judge(const Server& server) {
+  int Judge(const std::vector<const Server*>& servers) {
     std::map<std::string, std::shared_ptr<review::Run>> runs;
-    for (const std::shared_ptr<review::Run>& run : server.Runs()) {
-      runs[run->attempt_id] = run;
+    for (const Server* server : servers) {
+      for (const std::shared_ptr<review::Run>& run : server->Runs()) {
+        runs[run->attempt_id] = run;
+      }
     }
     int lost = 0;
     int steady_served = 0;
@@ -190,7 +233,7 @@
       const std::shared_ptr<review::Run> run =
           runs.contains(attempt->id) ? runs[attempt->id] : nullptr;
       const bool is_served = attempt->status == 200 && attempt->is_signed;
-      if (attempt->path.starts_with("/status/") && is_served) {
+      if (attempt->path.starts_with("/status") && is_served) {
         ++steady_served;
         continue;
       }
@@ -260,19 +303,20 @@
 
 int main(int argc, char** argv) {
   if (argc != 4) {
-    std::cerr << "usage: stop_beside_large_messages downloads|uploads PROGRAM "
+    std::cerr << "usage: stop_beside_large_messages "
+                 "downloads|uploads|slow-readers PROGRAM "
                  "RECORD\n";
     return 2;
   }
-  const bool is_upload = std::string(argv[1]) == "uploads";
+  const std::string name = argv[1];
+  const review::Mode mode = name == "uploads"     ? review::kUploads
+                            : name == "downloads" ? review::kDownloads
+                                                  : review::kSlowReaders;
   return review::RunCase(
       argv[3], argv[2],
-      [is_upload](review::asio::io_context& context,
-                  review::Deployment& deployment, bool has_trouble,
-                  review::Record& record) {
-        return std::make_shared<review::Case>(
-            context, deployment,
-            is_upload ? review::kUploads : review::kDownloads, has_trouble,
-            record);
+      [mode](review::asio::io_context& context, review::Deployment& deployment,
+             bool has_trouble, review::Record& record) {
+        return std::make_shared<review::Case>(context, deployment, mode,
+                                              has_trouble, record);
       });
 }
