Show that slow readers are cut in the middle of their answers

Cause: one limit of 10 s holds for the whole write of a response, whatever progress the client makes and whatever time it has left. Ruled out: the deadline (50 s), the route's timeout (60 s) and memory (60 MB at most); the same clients reading fast (TROUBLE=0 passes).

--- a/review/support-2/deployment.cc
+++ b/review/support-2/deployment.cc
@@ -648,6 +648,52 @@
   }
 }
 
+Awaitable<> SendOnKeptConnection(std::string ip,
+                                 Attempt& first,
+                                 Attempt& second,
+                                 double read_rate) {
+  boost::beast::tcp_stream stream(co_await asio::this_coro::executor);
+  stream.socket().open(Tcp::v4());
+  // Otherwise the operating system reads ahead for the client.
+  stream.socket().set_option(
+      asio::socket_base::receive_buffer_size(kSlowReceiveBuffer));
+  ErrorCode error;
+  co_await stream.async_connect(Endpoint(ip, Deployment::kOutboundPort),
+                                Await(error));
+  boost::beast::flat_buffer buffer;
+  for (Attempt* attempt : {&first, &second}) {
+    const Request request = MakeRequest(http::verb::get, "", *attempt);
+    if (!error) {
+      co_await http::async_write(stream, request, Await(error));
+    }
+    attempt->sent = SteadyClock::now();
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(kBodyLimit);
+    if (!error) {
+      co_await http::async_read_header(stream, buffer, parser, Await(error));
+    }
+    const TimePoint answered = SteadyClock::now();
+    while (!error && !parser.is_done()) {
+      co_await http::async_read_some(stream, buffer, parser, Await(error));
+      attempt->body_bytes = parser.get().body().size();
+      if (attempt == &second && read_rate > 0) {
+        const Seconds wait =
+            answered +
+            Seconds(static_cast<double>(attempt->body_bytes) / read_rate) -
+            SteadyClock::now();
+        if (wait > milliseconds(1)) {
+          co_await Sleep(wait);
+        }
+      }
+    }
+    attempt->ended = SteadyClock::now();
+    if (!error) {
+      attempt->status = static_cast<int>(parser.get().result_int());
+      attempt->is_signed = parser.get().find(kSignature) != parser.get().end();
+    }
+  }
+}
+
 json::object MakeRoute(const std::string& prefix,
                        const std::string& kind,
                        const std::string& service) {
--- a/review/support-2/deployment.h
+++ b/review/support-2/deployment.h
@@ -229,6 +229,15 @@
                          Seconds stay,
                          std::shared_ptr<Attempt> attempt);
 
+/// Sends one request after the other on the same connection; reads the answer
+/// to the second one at `read_rate` bytes per second, or as fast as it comes if
+/// that is 0. Counts the bytes of the second answer's body also if it breaks
+/// off.
+Awaitable<> SendOnKeptConnection(std::string ip,
+                                 Attempt& first,
+                                 Attempt& second,
+                                 double read_rate);
+
 json::object MakeRoute(const std::string& prefix,
                        const std::string& kind,
                        const std::string& service);
