Refuse responses whose status has no class

Callers got a target's response with status 000 as an answer, signed; the same with 001, 099, every status from 100 to 199 and from 600 to 999.

Cause: the HTTP library's parser accepts any three digits, and nothing looked at the number. A status below 200 passed for a response that is no failure, one above 599 for the target's own failure. Responses of the store and of the platform were read the same way.

CheckResponseHeader() is the one place that says whether a header is that of a final response. TargetClient calls it before it reads the body, for requests on both interfaces and for health checks, and Fetch() for the store, the platform and the command line. A refused response ends like one that belongs to another request: 502, the outcome unknown, unsigned, its connection is closed, the slot is free again, and nothing is believed of the target by it. A repeatable request goes to another target within its budget. Statuses from 600 on are refused too: RFC 9110, 15, calls them invalid, and a caller that follows it takes them for a 5xx, as it does the 502.

Tests: a stand-in answers with given bytes, whole and byte by byte, on new and on kept connections, to repeatable and other requests.

--- a/src/transport/http_fetch.h
+++ b/src/transport/http_fetch.h
@@ -21,8 +21,8 @@
 
 /// Sends one request over a new connection and reads the response.
 ///
-/// Returns nothing and sets the error if no complete response is received
-/// within the timeout. Adds a Host field if the request has none.
+/// Returns nothing and sets the error if no complete, valid response is
+/// received within the timeout. Adds a Host field if the request has none.
 Awaitable<std::optional<HttpResponse>> Fetch(asio::io_context& context,
                                              Address address,
                                              HttpRequest request,
--- /dev/null
+++ b/src/transport/message_check.h
@@ -0,0 +1,23 @@
+#ifndef DAISYWINCH_TRANSPORT_MESSAGE_CHECK_H
+#define DAISYWINCH_TRANSPORT_MESSAGE_CHECK_H
+
+#include "transport/asio.h"
+#include "transport/http.h"
+
+namespace daisywinch {
+
+// Decides whether what was received is a response that may be passed on. The
+// HTTP library's parser accepts any status of three digits.
+
+/// Whether the status is that of a final response (RFC 9110, 15). One without a
+/// class is invalid, and an interim one ends no exchange.
+bool IsFinalStatus(unsigned status);
+
+/// Checks the header that a parser has read; returns no error if it is that of
+/// a final response.
+ErrorCode CheckResponseHeader(
+    const http::response_parser<http::string_body>& parser);
+
+}  // namespace daisywinch
+
+#endif  // DAISYWINCH_TRANSPORT_MESSAGE_CHECK_H
--- a/src/transport/target_client.cc
+++ b/src/transport/target_client.cc
@@ -12,6 +12,7 @@
 #include <boost/beast/core/error.hpp>
 
 #include "transport/body_reader.h"
+#include "transport/message_check.h"
 
 namespace daisywinch {
 
@@ -58,6 +59,9 @@
   if (error == http::error::body_limit || error == http::error::header_limit) {
     return End::kResponseTooLarge;
   }
+  if (error == http::error::bad_status) {
+    return End::kResponseInvalid;
+  }
   return End::kResponseLost;
 }
 
@@ -143,6 +147,9 @@
   }
   co_await http::async_read_header(connection->stream, connection->buffer,
                                    parser, Await(error));
+  if (!error) {
+    error = CheckResponseHeader(parser);
+  }
   if (!error && accepts && !accepts(parser.get().base())) {
     exchange.end = End::kResponseInvalid;
     co_return;
--- a/src/transport/target_client.h
+++ b/src/transport/target_client.h
@@ -24,13 +24,15 @@
     kNotSent,
     /// The same, because the request was cancelled.
     kWithdrawn,
-    /// The connection ended before the complete response was received.
+    /// The connection ended before the complete response was received, or what
+    /// was received can't be parsed.
     kResponseLost,
     kDeadlinePassed,
     kCancelled,
     /// The response is over the limit, or was broken off for lack of memory.
     kResponseTooLarge,
-    /// The header belongs to no response to the request.
+    /// The header belongs to no response to the request, or to none that may be
+    /// passed on.
     kResponseInvalid,
   };
 
