Refuse folded fields in responses

Callers got signed responses with a body that wasn't the target's: a line " Content-Length: 2" behind another field, whose name begins with a blank or a tab, joined the value of that field. The length was lost, and the body ran to the end of the connection. Other such lines, also in trailers, were passed on within the value before them.

Cause: the parser of the HTTP library unfolds a field that continues on the next line (obs-fold) before anything else sees it.

ReadSome() takes the place of http::async_read_some() for headers and bodies of responses. It looks at the bytes that the parser has taken as fields, and fails with bad_obs_fold if one of their lines begins with a blank. RFC 9112, 5.2, lets a gateway replace the fold or discard the message with 502; only the latter keeps a hidden length from being lost. The parser never splits a fold over two calls, so the order in which the bytes arrive doesn't matter. HttpServer reads bodies by the same function and so refuses trailers of requests that are folded, with 400.

A body that begins like a folded line is kept whole.

--- a/src/transport/body_reader.h
+++ b/src/transport/body_reader.h
@@ -12,6 +12,7 @@
 #include "state/memory_budget.h"
 #include "transport/asio.h"
 #include "transport/http.h"
+#include "transport/message_reader.h"
 
 namespace daisywinch {
 
@@ -70,7 +71,7 @@
       error = boost::beast::error::timeout;
       co_return;
     }
-    co_await http::async_read_some(stream, buffer, parser, Await(error));
+    co_await ReadSome(stream, buffer, parser, error);
   }
 }
 
--- a/src/transport/http_fetch.cc
+++ b/src/transport/http_fetch.cc
@@ -8,6 +8,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include "transport/message_check.h"
+#include "transport/message_reader.h"
 #include "transport/tcp_keep_alive.h"
 
 namespace daisywinch {
@@ -37,12 +38,12 @@
   boost::beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
   parser.body_limit(limits.body_bytes);
-  co_await http::async_read_header(stream, buffer, parser, Await(error));
+  co_await ReadHeader(stream, buffer, parser, error);
   if (!error) {
     error = CheckResponseHeader(parser);
   }
-  if (!error) {
-    co_await http::async_read(stream, buffer, parser, Await(error));
+  while (!error && !parser.is_done()) {
+    co_await ReadSome(stream, buffer, parser, error);
   }
   if (error) {
     co_return std::nullopt;
--- a/src/transport/target_client.cc
+++ b/src/transport/target_client.cc
@@ -13,6 +13,7 @@
 
 #include "transport/body_reader.h"
 #include "transport/message_check.h"
+#include "transport/message_reader.h"
 
 namespace daisywinch {
 
@@ -59,7 +60,7 @@
   if (error == http::error::body_limit || error == http::error::header_limit) {
     return End::kResponseTooLarge;
   }
-  if (error == http::error::bad_status) {
+  if (error == http::error::bad_status || error == http::error::bad_obs_fold) {
     return End::kResponseInvalid;
   }
   return End::kResponseLost;
@@ -145,8 +146,7 @@
   if (request.method() == http::verb::head) {
     parser.skip(true);
   }
-  co_await http::async_read_header(connection->stream, connection->buffer,
-                                   parser, Await(error));
+  co_await ReadHeader(connection->stream, connection->buffer, parser, error);
   if (!error) {
     error = CheckResponseHeader(parser);
   }
--- a/tests/support/raw_responses.cc
+++ b/tests/support/raw_responses.cc
@@ -72,6 +72,28 @@
   return responses;
 }
 
+/// Lines that begin with a blank, behind another field (RFC 9112, 5.2).
+std::vector<RawResponse> FoldedFields() {
+  std::vector<RawResponse> responses;
+  for (const std::string& blank : {" "s, "\t"s}) {
+    const std::string name = blank == " " ? "space" : "tab";
+    responses.push_back(
+        {name + " before the length",
+         MakeResponse("200 OK", "A: b\r\n" + blank + Length() + "\r\nok")});
+    responses.push_back(
+        {name + " before the last field",
+         MakeRawResponse("200 OK", "A: b\r\n" + blank + "C: d\r\n")});
+    responses.push_back(
+        {name + " before a line of blanks",
+         MakeRawResponse("200 OK", "A: b\r\n" + blank + "\r\n")});
+    responses.push_back(
+        {name + " before a trailer",
+         MakeResponse("200 OK", Chunked() + "\r\n" + Chunks() + "A: b\r\n" +
+                                    blank + "C: d\r\n\r\n")});
+  }
+  return responses;
+}
+
 /// Other headers that aren't valid.
 std::vector<RawResponse> OtherInvalidHeaders() {
   std::vector<RawResponse> responses;
@@ -97,7 +119,8 @@
 std::vector<RawResponse> InvalidResponses() {
   std::vector<RawResponse> all;
   for (const std::vector<RawResponse>& responses :
-       {InvalidStatuses(), InvalidNames(), OtherInvalidHeaders()}) {
+       {InvalidStatuses(), InvalidNames(), FoldedFields(),
+        OtherInvalidHeaders()}) {
     all.insert(all.end(), responses.begin(), responses.end());
   }
   return all;
