Refuse responses with unknown transfer codings

Callers got signed responses whose body was the chunk framing itself, or was still compressed: "Transfer-Encoding: chunked, chunked", "gzip", "gzip, chunked", an empty field, and others.

Cause: the HTTP library's parser decodes "chunked" only where it is the last coding and named once, and takes any other body as it comes, to the end of the connection. The field concerns one connection only and isn't passed on, so that the caller couldn't see that the body was encoded.

CheckResponseHeader() accepts a body without the field, or with a single "chunked". No request asks for another coding. A response without a body (HEAD, 204, 304) is accepted with any, as its fields describe another message. A length beside "chunked" and a repeated "chunked" field, which the parser refuses itself, now end the exchange in the same way; before, they counted as a lost connection.

--- a/src/transport/message_check.h
+++ b/src/transport/message_check.h
@@ -7,14 +7,15 @@
 namespace daisywinch {
 
 // Decides whether what was received is a response that may be passed on. The
-// HTTP library's parser accepts any status of three digits.
+// HTTP library's parser accepts any status of three digits and any transfer
+// coding, and takes the body of a response with an unknown coding as it comes.
 
 /// Whether the status is that of a final response (RFC 9110, 15). One without a
 /// class is invalid, and an interim one ends no exchange.
 bool IsFinalStatus(unsigned status);
 
 /// Checks the header that a parser has read; returns no error if it is that of
-/// a final response.
+/// a final response whose body the parser can delimit and decode.
 ErrorCode CheckResponseHeader(
     const http::response_parser<http::string_body>& parser);
 
--- a/src/transport/target_client.cc
+++ b/src/transport/target_client.cc
@@ -60,7 +60,8 @@
   if (error == http::error::body_limit || error == http::error::header_limit) {
     return End::kResponseTooLarge;
   }
-  if (error == http::error::bad_status || error == http::error::bad_obs_fold) {
+  if (error == http::error::bad_status || error == http::error::bad_obs_fold ||
+      error == http::error::bad_transfer_encoding) {
     return End::kResponseInvalid;
   }
   return End::kResponseLost;
--- a/tests/support/raw_responses.cc
+++ b/tests/support/raw_responses.cc
@@ -94,6 +94,24 @@
   return responses;
 }
 
+/// Transfer codings other than one "chunked".
+std::vector<RawResponse> InvalidTransferCodings() {
+  std::vector<RawResponse> responses;
+  for (const std::string& codings :
+       {"chunked, chunked"s, "gzip"s, "gzip, chunked"s, "identity"s,
+        "chunked, gzip"s, "x"s, ""s}) {
+    responses.push_back(
+        {"transfer coding '" + codings + "'",
+         MakeResponse("200 OK", "Transfer-Encoding: " + codings + "\r\n\r\n" +
+                                    Chunks() + "\r\n")});
+  }
+  responses.push_back(
+      {"two fields with transfer codings",
+       MakeResponse("200 OK", "Transfer-Encoding: gzip\r\n" + Chunked() +
+                                  "\r\n" + Chunks() + "\r\n")});
+  return responses;
+}
+
 /// Other headers that aren't valid.
 std::vector<RawResponse> OtherInvalidHeaders() {
   std::vector<RawResponse> responses;
@@ -120,7 +138,7 @@
   std::vector<RawResponse> all;
   for (const std::vector<RawResponse>& responses :
        {InvalidStatuses(), InvalidNames(), FoldedFields(),
-        OtherInvalidHeaders()}) {
+        InvalidTransferCodings(), OtherInvalidHeaders()}) {
     all.insert(all.end(), responses.begin(), responses.end());
   }
   return all;
--- a/tests/transport/invalid_response_test.cc
+++ b/tests/transport/invalid_response_test.cc
@@ -115,6 +115,17 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(response_to_head_has_no_body) {
+  for (const char* framing :
+       {"Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n"}) {
+    this->target.SetAnswer(
+        {"HTTP/1.1 200 OK\r\n" + std::string(framing) + "\r\n", false, true});
+    BOOST_TEST((this->Exchange(http::verb::head).end == End::kAnswered),
+               framing);
+  }
+}
+
 // Guards against a late part of an invalid response that is taken for the
 // response to the next request.
 BOOST_DATA_TEST_CASE(connection_of_an_invalid_response_is_not_used_again,
