Check responses that other nodes pass on

A reply of another node was turned into a response as it came: a status of 0 or 70,000, field names that are no token, and values with CR LF reached the caller.

CallClient, which receives all replies of other nodes on both interfaces, now takes such a response for a lost one: the outcome is unknown, so that the caller gets 502 and a repeatable request may go to another target. The load of the gate and the retries that are left, which are the gate's own statements, stay. Event 3008 names the request and the node.

The gate of call_shutdown, and that of the call_transport experiment, answered without a status. They now set 200; the checks are unchanged.

--- a/bench/call_transport_main.cc
+++ b/bench/call_transport_main.cc
@@ -43,6 +43,7 @@
          std::shared_ptr<Cancellation>) -> Awaitable<protocol::CallReply> {
         protocol::CallReply reply;
         reply.set_outcome(protocol::OUTCOME_ANSWERED);
+        reply.set_status(200);
         reply.set_body(request.body());
         co_return reply;
       });
--- a/src/state/event_log.cc
+++ b/src/state/event_log.cc
@@ -143,6 +143,9 @@
                      "A node whose calls are in progress at this gate sent "
                      "nothing for so long that its power or link may be lost; "
                      "its connection is closed and the calls are cancelled."},
+    EventDescription{EventId::kPeerReplyInvalid, kWarning, "peer-reply-invalid",
+                     "The response in a reply of another node isn't valid HTTP "
+                     "and is not passed on."},
     EventDescription{EventId::kTargetCold, kWarning, "target-cold",
                      "The target is new, restarted or cold again; its "
                      "concurrency limit starts low."},
--- a/src/state/event_log.h
+++ b/src/state/event_log.h
@@ -50,6 +50,7 @@
   kTrafficSilent = 3005,
   kTrafficHeard = 3006,
   kPeerSilent = 3007,
+  kPeerReplyInvalid = 3008,
   kTargetCold = 4001,
   kTargetWarm = 4002,
   kTargetMaxRateChanged = 4003,
--- a/src/transport/call_client.cc
+++ b/src/transport/call_client.cc
@@ -6,6 +6,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "state/event_log.h"
+#include "transport/message_check.h"
+
 namespace daisywinch {
 
 namespace {
@@ -22,6 +25,25 @@
 constexpr std::chrono::milliseconds kSilenceBeforeClose{800};
 constexpr std::chrono::milliseconds kLivenessCheckInterval{150};
 
+/// The id by which the log names a request: that of the caller's attempt, or of
+/// the root request.
+const std::string& RequestIdOf(const protocol::CallRequest& request) {
+  return request.attempt_id().empty() ? request.root_id()
+                                      : request.attempt_id();
+}
+
+/// Takes the response out of a reply and reports it as lost. What the gate says
+/// about itself stays.
+void ReplaceResponse(protocol::CallReply& reply) {
+  const protocol::CallReply refusal =
+      MakeRefusedReply(RefusalReason::kResponseLost);
+  reply.set_outcome(refusal.outcome());
+  reply.set_reason(refusal.reason());
+  reply.clear_status();
+  reply.clear_headers();
+  reply.clear_body();
+}
+
 }  // namespace
 
 protocol::CallReply MakeRefusedReply(RefusalReason reason) {
@@ -45,7 +67,8 @@
       clock(clock),
       address(address),
       size_limit(size_limit),
-      memory(memory) {}
+      memory(memory),
+      log_limiter(clock.Now()) {}
 
 Awaitable<protocol::CallReply> CallClient::Call(
     protocol::CallRequest request,
@@ -88,6 +111,7 @@
       call->sent = !call->withdrawn;
       return call->sent;
     });
+    call->request_id = RequestIdOf(frame.request());
   }
 
   call->completion_timer.expires_at(deadline);
@@ -241,11 +265,28 @@
     return;
   }
   const std::shared_ptr<PendingCall> call = found->second;
+  if (reply.outcome() == protocol::OUTCOME_ANSWERED &&
+      !IsValidResponse(reply)) {
+    this->LogInvalidReply(call->request_id, reply);
+    ReplaceResponse(reply);
+  }
   call->reply = std::move(reply);
   call->done = true;
   call->completion_timer.cancel();
 }
 
+void CallClient::LogInvalidReply(const std::string& request_id,
+                                 const protocol::CallReply& reply) {
+  const std::optional<std::uint64_t> left_out =
+      this->log_limiter.TryAcquire(true, this->clock.Now());
+  if (left_out) {
+    LogEvent(EventId::kPeerReplyInvalid, {{"peer", this->address.ToString()},
+                                          {"request", request_id},
+                                          {"status", reply.status()},
+                                          {"left_out", *left_out}});
+  }
+}
+
 void CallClient::FailPendingCalls(
     const std::shared_ptr<FrameStream>& connection,
     RefusalReason reason) {
--- a/src/transport/call_client.h
+++ b/src/transport/call_client.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "state/clock.h"
+#include "state/log_rate_limiter.h"
 #include "state/refusal.h"
 #include "transport/cancellation.h"
 #include "transport/frame_stream.h"
@@ -21,8 +22,9 @@
 /// Sends calls to the gate of one other node over one connection.
 ///
 /// Connects on the first call and again after a failure. A reply that matches
-/// no pending call is dropped and counted. Not thread-safe: all methods run on
-/// the thread of the context.
+/// no pending call is dropped and counted. A reply with a response that can't
+/// be passed on to a caller counts as a lost response. Not thread-safe: all
+/// methods run on the thread of the context.
 class CallClient : public std::enable_shared_from_this<CallClient> {
  public:
   CallClient(asio::io_context& context,
@@ -56,6 +58,7 @@
     Timer completion_timer;
     /// The connection on which the call is sent.
     std::shared_ptr<FrameStream> connection;
+    std::string request_id;
     TimePoint started;
     bool sent = false;
     /// The call ended before its frame was written; the frame must not be
@@ -84,6 +87,8 @@
   Awaitable<> ReadReplies(std::shared_ptr<CallClient> self,
                           std::shared_ptr<FrameStream> connection);
   void HandleReply(protocol::CallReply reply);
+  void LogInvalidReply(const std::string& request_id,
+                       const protocol::CallReply& reply);
   /// Ends the calls on a connection that has ended: those that were sent with
   /// `reason`, and the others as not run.
   void FailPendingCalls(const std::shared_ptr<FrameStream>& connection,
@@ -106,6 +111,7 @@
   std::unordered_map<std::uint64_t, std::shared_ptr<PendingCall>> pending;
   std::uint64_t next_call_id = 1;
   std::uint64_t unmatched_replies = 0;
+  LogRateLimiter log_limiter;
 };
 
 }  // namespace daisywinch
--- a/src/transport/message_check.cc
+++ b/src/transport/message_check.cc
@@ -1,5 +1,7 @@
 #include "transport/message_check.h"
 
+#include <algorithm>
+#include <cctype>
 #include <string_view>
 
 #include <boost/beast/core/string.hpp>
@@ -11,6 +13,8 @@
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kLastStatus = 599;
 constexpr std::string_view kChunked = "chunked";
+/// The characters besides letters and digits that a token may have.
+constexpr std::string_view kTokenPunctuation = "!#$%&'*+-.^_`|~";
 
 /// Whether a message has no transfer coding but a single "chunked". No request
 /// asks for another one (RFC 9112, 7.4).
@@ -28,6 +32,22 @@
   return begin == end || (coding_count == 1 && is_chunked);
 }
 
+/// Whether the text is a token (RFC 9110, 5.6.2), as a field name must be.
+bool IsToken(std::string_view text) {
+  return !text.empty() && std::ranges::all_of(text, [](char character) {
+    return std::isalnum(static_cast<unsigned char>(character)) != 0 ||
+           kTokenPunctuation.find(character) != std::string_view::npos;
+  });
+}
+
+/// Whether the text has no control bytes but tabs (RFC 9110, 5.5).
+bool IsFieldValue(std::string_view text) {
+  return std::ranges::none_of(text, [](char character) {
+    return character != '\t' &&
+           std::iscntrl(static_cast<unsigned char>(character)) != 0;
+  });
+}
+
 }  // namespace
 
 bool IsFinalStatus(unsigned status) {
@@ -47,4 +67,12 @@
   return {};
 }
 
+bool IsValidResponse(const protocol::CallReply& reply) {
+  return IsFinalStatus(reply.status()) &&
+         std::ranges::all_of(
+             reply.headers(), [](const protocol::Header& header) {
+               return IsToken(header.name()) && IsFieldValue(header.value());
+             });
+}
+
 }  // namespace daisywinch
--- a/src/transport/message_check.h
+++ b/src/transport/message_check.h
@@ -1,6 +1,7 @@
 #ifndef DAISYWINCH_TRANSPORT_MESSAGE_CHECK_H
 #define DAISYWINCH_TRANSPORT_MESSAGE_CHECK_H
 
+#include "protocol/generated/peer_messages.pb.h"
 #include "transport/asio.h"
 #include "transport/http.h"
 
@@ -19,6 +20,10 @@
 ErrorCode CheckResponseHeader(
     const http::response_parser<http::string_body>& parser);
 
+/// Whether a peer's reply with the response of a target can be passed on as an
+/// HTTP response.
+bool IsValidResponse(const protocol::CallReply& reply);
+
 }  // namespace daisywinch
 
 #endif  // DAISYWINCH_TRANSPORT_MESSAGE_CHECK_H
--- a/tests/transport/call_shutdown_test.cc
+++ b/tests/transport/call_shutdown_test.cc
@@ -89,6 +89,7 @@
     }
     protocol::CallReply reply;
     reply.set_outcome(protocol::OUTCOME_ANSWERED);
+    reply.set_status(200);
     co_return reply;
   }
 
--- a/tests/transport/invalid_response_test.cc
+++ b/tests/transport/invalid_response_test.cc
@@ -1,5 +1,5 @@
 // Guards against responses that aren't valid HTTP and are taken for responses:
-// those of targets and of the store.
+// those of targets, of the store, and those that another node passes on.
 #include <unistd.h>
 
 #include <memory>
@@ -13,6 +13,8 @@
 
 #include "standins/raw_target.h"
 #include "support/raw_responses.h"
+#include "transport/call_client.h"
+#include "transport/call_server.h"
 #include "transport/http_fetch.h"
 #include "transport/target_client.h"
 
@@ -23,6 +25,7 @@
 using End = TargetExchange::End;
 
 constexpr std::uint64_t kBodyLimit = 1024;
+constexpr std::size_t kFrameLimit = std::size_t{1024} * 1024;
 constexpr std::chrono::seconds kTimeout{5};
 
 Address LoopbackAddress() {
@@ -73,6 +76,74 @@
   return {{response.bytes, false, true}, {response.bytes, true, true}};
 }
 
+/// A gate that returns a given reply, and a client that calls it.
+struct PeerFixture {
+  PeerFixture()
+      : server(context,
+               nullptr,
+               kFrameLimit,
+               [this](protocol::CallRequest, std::shared_ptr<Cancellation>)
+                   -> Awaitable<protocol::CallReply> {
+                 co_return this->sent_reply;
+               }) {
+    Address address = LoopbackAddress();
+    for (address.port = 20000; address.port < 30000; ++address.port) {
+      if (!this->server.Listen(address)) {
+        break;
+      }
+    }
+    this->client = std::make_shared<CallClient>(
+        this->context, nullptr, this->clock, address, kFrameLimit);
+    this->sent_reply.set_outcome(protocol::OUTCOME_ANSWERED);
+    this->sent_reply.set_status(200);
+    this->sent_reply.set_body("ok");
+    this->sent_reply.set_retries_left(3);
+    this->sent_reply.mutable_load()->set_limit(7);
+    this->sent_reply.set_reached_target(true);
+  }
+
+  protocol::CallReply Call() {
+    std::optional<protocol::CallReply> reply;
+    asio::co_spawn(
+        this->context,
+        this->client->Call(protocol::CallRequest(), BootTime::now() + kTimeout,
+                           std::make_shared<Cancellation>()),
+        [&reply](std::exception_ptr, protocol::CallReply result) {
+          reply = std::move(result);
+        });
+    this->context.restart();
+    while (!reply) {
+      this->context.run_one();
+    }
+    return std::move(*reply);
+  }
+
+  void AddHeader(const std::string& name, const std::string& value) {
+    protocol::Header* header = this->sent_reply.add_headers();
+    header->set_name(name);
+    header->set_value(value);
+  }
+
+  void CheckRefused() {
+    const protocol::CallReply reply = this->Call();
+    BOOST_TEST(reply.outcome() == protocol::OUTCOME_UNKNOWN);
+    BOOST_TEST(reply.reason() ==
+               static_cast<std::uint32_t>(RefusalReason::kResponseLost));
+    BOOST_TEST(reply.headers().empty());
+    BOOST_TEST(reply.body().empty());
+    // What the gate says of itself and of its target still holds.
+    BOOST_TEST(reply.retries_left() == 3);
+    BOOST_TEST(reply.load().limit() == 7);
+    BOOST_TEST(reply.reached_target());
+  }
+
+  asio::io_context context{1};
+  SystemClock clock;
+  protocol::CallReply sent_reply;
+  CallServer server;
+  std::shared_ptr<CallClient> client;
+};
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(invalid_response, InvalidResponseFixture)
@@ -152,4 +223,66 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(invalid_reply, PeerFixture)
+
+BOOST_AUTO_TEST_CASE(valid_reply_of_a_peer_is_passed_on) {
+  this->AddHeader("X-Field", "a value with \t and \x80");
+  for (const int status : {200, 204, 299, 304, 404, 500, 599}) {
+    this->sent_reply.set_status(status);
+    const protocol::CallReply reply = this->Call();
+    BOOST_TEST(reply.outcome() == protocol::OUTCOME_ANSWERED);
+    BOOST_TEST(reply.status() == status);
+    BOOST_TEST(reply.body() == "ok");
+    BOOST_TEST(reply.headers_size() == 1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(status_of_a_peer_without_a_class_is_no_answer) {
+  for (const std::uint32_t status : {0U, 1U, 99U, 100U, 101U, 199U, 600U, 999U,
+                                     1000U, 70'000U, 4'000'000'000U}) {
+    this->sent_reply.set_status(status);
+    this->CheckRefused();
+  }
+}
+
+BOOST_AUTO_TEST_CASE(field_name_of_a_peer_that_is_no_token_is_no_answer) {
+  for (int byte = 0; byte < 0x80; ++byte) {
+    const std::string character(1, static_cast<char>(byte));
+    const bool is_token_character =
+        std::isalnum(byte) != 0 ||
+        std::string("!#$%&'*+-.^_`|~").find(character) != std::string::npos;
+    this->sent_reply.clear_headers();
+    this->AddHeader("X" + character + "Field", "value");
+    if (is_token_character) {
+      BOOST_TEST(this->Call().outcome() == protocol::OUTCOME_ANSWERED);
+    } else {
+      this->CheckRefused();
+    }
+  }
+  this->sent_reply.clear_headers();
+  this->AddHeader("", "value");
+  this->CheckRefused();
+}
+
+BOOST_AUTO_TEST_CASE(field_value_of_a_peer_with_a_control_byte_is_no_answer) {
+  using std::string_literals::operator""s;
+  for (const std::string& value : {"a\r\nContent-Length: 2"s, "a\rb"s, "a\nb"s,
+                                   "a\0b"s, "a\x1f"s, "\x7f"s}) {
+    this->sent_reply.clear_headers();
+    this->AddHeader("X-Field", value);
+    this->CheckRefused();
+  }
+}
+
+// A reply that is a refusal has no response to check.
+BOOST_AUTO_TEST_CASE(refusal_of_a_peer_is_passed_on) {
+  this->sent_reply = MakeRefusedReply(RefusalReason::kShedByGate);
+  const protocol::CallReply reply = this->Call();
+  BOOST_TEST(reply.outcome() == protocol::OUTCOME_NOT_RUN);
+  BOOST_TEST(reply.reason() ==
+             static_cast<std::uint32_t>(RefusalReason::kShedByGate));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace daisywinch::test
