Log and count invalid responses of targets

A response that isn't valid HTTP ended as "The answer was lost", like a connection that broke; nothing told an operator which it was.

TargetClient names the fault and counts such responses. Both gates write event 4006 with the request's id and the fault (the attempt id, or the root request's id on the handle interface), also for health checks, within the log limits for failed requests. The count is in the status of both gates and in the metrics of the mesh interface. Responses that the parser refuses itself are included; how they end is unchanged.

event_and_counter_tell_of_an_invalid_response fails on both interfaces without the change.

--- a/src/node/gate.cc
+++ b/src/node/gate.cc
@@ -45,7 +45,8 @@
       target(context, settings.target_address, settings.body_limit, &memory),
       queue(this->shares),
       records(kMaxRecords, kMaxRecordBytes),
-      ownership(settings.vm, clock.Now()) {}
+      ownership(settings.vm, clock.Now()),
+      log_limiter(clock.Now()) {}
 
 Awaitable<protocol::CallReply> Gate::Handle(
     protocol::CallRequest request,
@@ -276,6 +277,9 @@
   sample.in_flight = this->in_flight;
   sample.instance = std::string(exchange.response[kInstanceHeader]);
   this->RecordExchange(exchange, sample);
+  if (!exchange.fault.empty()) {
+    this->LogInvalidResponse(call.context.root_id, exchange);
+  }
   --this->in_flight;
   this->StartQueuedCalls();
   protocol::CallReply reply = MakeReply(std::move(exchange));
@@ -322,6 +326,18 @@
   }
 }
 
+void Gate::LogInvalidResponse(const std::string& root_id,
+                              const TargetExchange& exchange) {
+  const std::optional<std::uint64_t> left_out =
+      this->log_limiter.TryAcquire(true, this->clock.Now());
+  if (left_out) {
+    LogEvent(EventId::kTargetResponseInvalid, {{"request", root_id},
+                                               {"vm", this->vm},
+                                               {"fault", exchange.fault},
+                                               {"left_out", *left_out}});
+  }
+}
+
 boost::json::object Gate::Status() const {
   return {{"in_flight", this->in_flight},
           {"most_in_flight", this->max_in_flight},
@@ -331,6 +347,7 @@
           {"warm", this->limit.IsWarm()},
           {"times_cold", this->limit.ColdCount()},
           {"connections", this->target.ConnectionCount()},
+          {"invalid_responses", this->target.InvalidResponses()},
           {"repeat_records", this->records.Size()},
           {"draining", this->draining.load()}};
 }
--- a/src/node/gate.h
+++ b/src/node/gate.h
@@ -17,6 +17,7 @@
 #include "state/fair_share.h"
 #include "state/handle_table.h"
 #include "state/idempotency_records.h"
+#include "state/log_rate_limiter.h"
 #include "state/ownership_history.h"
 #include "state/settings.h"
 #include "state/snapshot.h"
@@ -102,6 +103,9 @@
   /// applies to the call's customer.
   void AddLoad(const GateCall& call, protocol::CallReply& reply);
   void LogColdStateChange();
+  /// Logs a response that isn't valid HTTP.
+  void LogInvalidResponse(const std::string& root_id,
+                          const TargetExchange& exchange);
 
   asio::io_context& context;
   const Clock& clock;
@@ -122,6 +126,7 @@
   int in_flight = 0;
   int max_in_flight = 0;
   bool logged_warm = false;
+  LogRateLimiter log_limiter;
   bool out_of_service = false;
   std::atomic<int> calls_in_progress = 0;
   std::atomic<bool> draining = false;
--- a/src/node/mesh_gate.cc
+++ b/src/node/mesh_gate.cc
@@ -331,6 +331,9 @@
   if (exchange.connection_dropped) {
     this->cold_state.RecordPossibleRestart(now);
   }
+  if (!exchange.fault.empty()) {
+    this->LogInvalidResponse(request.attempt_id(), exchange);
+  }
   protocol::CallReply reply;
   switch (exchange.end) {
     case TargetExchange::End::kNotSent:
@@ -422,6 +425,9 @@
   if (exchange.connection_refused) {
     this->RecordProcessEnd();
   }
+  if (!exchange.fault.empty()) {
+    this->LogInvalidResponse("", exchange);
+  }
   if (exchange.end != TargetExchange::End::kAnswered) {
     co_return;
   }
@@ -441,6 +447,19 @@
   }
 }
 
+void MeshGate::LogInvalidResponse(const std::string& request,
+                                  const TargetExchange& exchange) {
+  const std::optional<std::uint64_t> left_out =
+      this->log_limiter.TryAcquire(true, this->clock.Now());
+  if (left_out) {
+    LogEvent(EventId::kTargetResponseInvalid,
+             {{"request", request},
+              {"target", this->LocalTargetId()},
+              {"fault", exchange.fault},
+              {"left_out", *left_out}});
+  }
+}
+
 void MeshGate::RecordProcessEnd() {
   if (this->crash_detector.RecordProcessEnd(this->clock.Now())) {
     asio::co_spawn(this->context, this->ReportCrash(), asio::detached);
@@ -570,6 +589,7 @@
                               : boost::json::value()},
           {"target_leaving", this->notices.IsLeaving()},
           {"connections", this->target.ConnectionCount()},
+          {"invalid_responses", this->target.InvalidResponses()},
           {"draining", this->draining.load()}};
 }
 
@@ -588,6 +608,12 @@
             std::string(labels.first) + "\",state=\"" +
             std::string(labels.second) + "\"} " + std::to_string(count) + "\n";
   }
+  text +=
+      "# HELP daisywinch_invalid_responses_total Responses of the target that "
+      "aren't valid HTTP.\n"
+      "# TYPE daisywinch_invalid_responses_total counter\n"
+      "daisywinch_invalid_responses_total " +
+      std::to_string(this->target.InvalidResponses()) + "\n";
   if (this->notices.MaxRate()) {
     text +=
         "# HELP daisywinch_target_max_rate Requests per second that the target "
--- a/src/node/mesh_gate.h
+++ b/src/node/mesh_gate.h
@@ -119,6 +119,10 @@
   protocol::CallReply MakeReply(const protocol::CallRequest& request,
                                 TimePoint sent_at,
                                 TargetExchange& exchange);
+  /// Logs a response that isn't valid HTTP. `request` is the attempt id, or
+  /// empty for a health check.
+  void LogInvalidResponse(const std::string& request,
+                          const TargetExchange& exchange);
   /// Records a sign that the process of the target has ended.
   void RecordProcessEnd();
   /// Reports a crash of the target when all its connections have been closed.
--- a/src/state/event_log.cc
+++ b/src/state/event_log.cc
@@ -165,6 +165,11 @@
                      "The process of the target ended while it was running "
                      "requests; requests holds the digests of some of them, as "
                      "in the lines of the requests."},
+    EventDescription{EventId::kTargetResponseInvalid, kWarning,
+                     "target-response-invalid",
+                     "The target's response to a request or health check isn't "
+                     "valid HTTP and is not passed on; its connection is "
+                     "closed."},
     EventDescription{EventId::kAdmissionChanged, kInformation,
                      "admission-changed",
                      "The admitted fraction of a class of root requests "
--- a/src/state/event_log.h
+++ b/src/state/event_log.h
@@ -56,6 +56,7 @@
   kTargetMaxRateChanged = 4003,
   kTargetStatesLeaving = 4004,
   kTargetCrashed = 4005,
+  kTargetResponseInvalid = 4006,
   kAdmissionChanged = 5001,
   kCustomerOverRate = 5002,
   kRequestJudgedFatal = 5003,
--- a/src/transport/message_check.cc
+++ b/src/transport/message_check.cc
@@ -67,6 +67,14 @@
   return {};
 }
 
+bool IsInvalidMessage(const ErrorCode& error) {
+  const ErrorCode any_http_error = http::error::bad_status;
+  return error.category() == any_http_error.category() &&
+         error != http::error::end_of_stream &&
+         error != http::error::partial_message &&
+         error != http::error::header_limit && error != http::error::body_limit;
+}
+
 bool IsValidResponse(const protocol::CallReply& reply) {
   return IsFinalStatus(reply.status()) &&
          std::ranges::all_of(
--- a/src/transport/message_check.h
+++ b/src/transport/message_check.h
@@ -20,6 +20,10 @@
 ErrorCode CheckResponseHeader(
     const http::response_parser<http::string_body>& parser);
 
+/// Whether the error means that the received bytes are no valid response,
+/// rather than that the response is incomplete or too large.
+bool IsInvalidMessage(const ErrorCode& error);
+
 /// Whether a peer's reply with the response of a target can be passed on as an
 /// HTTP response.
 bool IsValidResponse(const protocol::CallReply& reply);
--- a/src/transport/target_client.cc
+++ b/src/transport/target_client.cc
@@ -168,13 +168,23 @@
     co_return;
   }
   if (error) {
-    exchange.end = EndFor(error, *cancellation);
+    this->EndWithError(error, *cancellation, exchange);
     co_return;
   }
   exchange.end = End::kAnswered;
   exchange.response = parser.release();
 }
 
+void TargetClient::EndWithError(const ErrorCode& error,
+                                const Cancellation& cancellation,
+                                TargetExchange& exchange) {
+  exchange.end = EndFor(error, cancellation);
+  if (exchange.end != End::kCancelled && IsInvalidMessage(error)) {
+    exchange.fault = error.message();
+    ++this->invalid_responses;
+  }
+}
+
 std::shared_ptr<TargetClient::Connection> TargetClient::TakeIdleConnection(
     TargetExchange& exchange) {
   while (!this->idle_connections.empty()) {
--- a/src/transport/target_client.h
+++ b/src/transport/target_client.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <string>
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -38,6 +39,8 @@
 
   End end = End::kNotSent;
   HttpResponse response;
+  /// What is wrong with a response that isn't valid HTTP; empty otherwise.
+  std::string fault;
   /// The target closed an idle connection before its idle timeout, or refused a
   /// new connection.
   bool connection_dropped = false;
@@ -79,6 +82,8 @@
 
   /// Number of open connections, including idle ones.
   int ConnectionCount() const { return this->connection_count; }
+  /// Number of responses so far that weren't valid HTTP.
+  std::uint64_t InvalidResponses() const { return this->invalid_responses; }
   void CloseIdleConnections();
 
  private:
@@ -102,6 +107,10 @@
                        HttpRequest request,
                        const HeaderCheck& accepts,
                        TargetExchange& exchange);
+  /// Sets how an exchange ends whose response could not be read.
+  void EndWithError(const ErrorCode& error,
+                    const Cancellation& cancellation,
+                    TargetExchange& exchange);
 
   asio::io_context& context;
   Address address;
@@ -109,6 +118,7 @@
   MemoryBudget* memory;
   std::list<std::shared_ptr<Connection>> idle_connections;
   int connection_count = 0;
+  std::uint64_t invalid_responses = 0;
 };
 
 }  // namespace daisywinch
--- a/tests/end_to_end/invalid_response_test.cc
+++ b/tests/end_to_end/invalid_response_test.cc
@@ -17,6 +17,7 @@
 
 constexpr std::chrono::seconds kResponseTimeout{5};
 constexpr int kRequestsForRetries = 50;
+constexpr char kLogName[] = "4006 target-response-invalid";
 
 /// Formats a request after whose response the node closes the connection.
 std::string ToBytes(const Call& call) {
@@ -173,6 +174,25 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(event_and_counter_tell_of_an_invalid_response) {
+  this->Start();
+  this->target->SetAnswer({MakeRawResponse("000 Odd"), false, false});
+  CheckIsBadGateway(this->SendUntilTaken("POST"), "status 000");
+  const std::string id = "r-" + std::to_string(this->sent_count);
+  BOOST_TEST(WaitUntil([&] {
+    const std::string log = this->fleet.ReadNodeLog(this->front);
+    const std::size_t start = log.find(kLogName);
+    return start != std::string::npos &&
+           Contains(log.substr(start, log.find('\n', start) - start),
+                    "request=\"" + id + "\"");
+  }));
+  Call call;
+  call.path = "/metrics";
+  const HttpResponse metrics = Send(this->front.operator_address, call);
+  BOOST_TEST(
+      Contains(metrics.body(), "\ndaisywinch_invalid_responses_total 1\n"));
+}
+
 BOOST_AUTO_TEST_CASE(only_a_repeatable_request_goes_to_another_target) {
   MeshVm& other = this->fleet.AddVm("west", "front");
   this->Start();
@@ -238,6 +258,18 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(event_and_counter_tell_of_an_invalid_response) {
+  this->target->SetAnswer({MakeRawResponse("000 Odd"), false, false});
+  CheckIsBadGateway(this->SendPickup("counted", true), "status 000");
+  BOOST_TEST(WaitUntil([this] {
+    return Contains(this->fleet.ReadNodeLog(this->vm), kLogName);
+  }));
+  BOOST_TEST(this->fleet.GetStatus(this->vm)
+                 .at("gate")
+                 .at("invalid_responses")
+                 .to_number<int>() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace daisywinch::test
