Refuse folded fields in requests

A body ran as a request of its own: a line " Content-Length: 4" behind another field joined that field's value, the request was handled without a body, and its body was parsed as the next one.

HttpServer reads headers by ReadHeader(), as TargetClient does. A folded field gets 400 and the end of the connection, which RFC 9112, 5.2, asks of a server; nothing is started.

request_whose_body_is_ambiguous_is_refused: without the fix the handler got two requests, the second one out of the body, for the line that begins with a space and for the one that begins with a tab; now none. A blank or a control byte within a name, or before its colon, was refused before, and its cases are kept.

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -16,6 +16,7 @@
 
 #include "transport/body_reader.h"
 #include "transport/listen.h"
+#include "transport/message_reader.h"
 
 namespace daisywinch {
 
@@ -261,8 +262,7 @@
   parser.body_limit(this->limits.body_bytes);
   const TimePoint deadline = BootTime::now() + this->limits.transfer_timeout;
   connection.stream.expires_after(this->limits.transfer_timeout);
-  co_await http::async_read_header(connection.stream, connection.buffer, parser,
-                                   Await(error));
+  co_await ReadHeader(connection.stream, connection.buffer, parser, error);
   if (!error) {
     co_await ReadBody(connection.stream, connection.buffer, parser, deadline,
                       kRequestCopies, memory, error);
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -342,6 +342,38 @@
   BOOST_TEST(server.StartedRequests() == 2);
 }
 
+// Guards against a request whose length is hidden in another field, so that its
+// body is taken for the next request.
+BOOST_AUTO_TEST_CASE(request_whose_body_is_ambiguous_is_refused) {
+  const std::string second = "GET /second HTTP/1.1\r\nHost: a\r\n\r\n";
+  for (const std::string& rest : std::vector<std::string>{
+           "A: b\r\n Content-Length: 4\r\n\r\n" + second,
+           "A: b\r\n\tContent-Length: 4\r\n\r\n" + second,
+           "Transfer-Encoding: chunked\r\n\r\n0\r\nA: b\r\n C: d\r\n\r\n",
+           "Content-Length : 4\r\n\r\n" + second,
+           "Content Length: 4\r\n\r\n" + second,
+           "Content-Length\x01: 4\r\n\r\n" + second}) {
+    for (const bool in_single_bytes : {false, true}) {
+      ServerFixture server;
+      server.Run();
+      Connection connection(server.ServerAddress());
+      const std::string request = "POST /first HTTP/1.1\r\nHost: a\r\n" + rest;
+      if (in_single_bytes) {
+        for (const char byte : request) {
+          connection.Write(std::string(1, byte));
+        }
+      } else {
+        connection.Write(request);
+      }
+      const std::optional<HttpResponse> response = connection.ReadResponse();
+      BOOST_REQUIRE(response);
+      BOOST_TEST(response->result_int() == 400, rest);
+      BOOST_TEST(!response->keep_alive());
+      BOOST_TEST(server.StartedRequests() == 0);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(requests_sent_together_are_answered_in_order) {
   ServerFixture server;
   server.Run();
