Refuse unknown transfer codings in requests

A body ran as a request of its own: "Transfer-Encoding: chunked, chunked", "gzip", "gzip, chunked", "chunked, gzip", "identity" or an empty field made the HTTP library's parser take the request for one without a body, or leave it encoded. The field isn't passed on, and the bytes of the body were parsed as the next request.

CheckRequestHeader() accepts a request without the field, or with a single "chunked"; any other gets 400 and the end of the connection (RFC 9112, 6.3).

request_whose_body_is_ambiguous_is_refused: without the fix the six codings were handled, now none is. A length beside "chunked" was refused before; its case is kept.

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -16,6 +16,7 @@
 
 #include "transport/body_reader.h"
 #include "transport/listen.h"
+#include "transport/message_check.h"
 #include "transport/message_reader.h"
 
 namespace daisywinch {
@@ -263,6 +264,9 @@
   const TimePoint deadline = BootTime::now() + this->limits.transfer_timeout;
   connection.stream.expires_after(this->limits.transfer_timeout);
   co_await ReadHeader(connection.stream, connection.buffer, parser, error);
+  if (!error) {
+    error = CheckRequestHeader(parser.get().base());
+  }
   if (!error) {
     co_await ReadBody(connection.stream, connection.buffer, parser, deadline,
                       kRequestCopies, memory, error);
--- a/src/transport/message_check.cc
+++ b/src/transport/message_check.cc
@@ -67,6 +67,12 @@
   return {};
 }
 
+ErrorCode CheckRequestHeader(const http::request_header<>& header) {
+  return HasKnownTransferCoding(header)
+             ? ErrorCode()
+             : ErrorCode(http::error::bad_transfer_encoding);
+}
+
 bool IsInvalidMessage(const ErrorCode& error) {
   const ErrorCode any_http_error = http::error::bad_status;
   return error.category() == any_http_error.category() &&
--- a/src/transport/message_check.h
+++ b/src/transport/message_check.h
@@ -7,9 +7,10 @@
 
 namespace daisywinch {
 
-// Decides whether what was received is a response that may be passed on. The
+// Decides whether what was received is a message that may be passed on. The
 // HTTP library's parser accepts any status of three digits and any transfer
-// coding, and takes the body of a response with an unknown coding as it comes.
+// coding. It takes the body of a response with an unknown coding as it comes,
+// and that of such a request for the next request.
 
 /// Whether the status is that of a final response (RFC 9110, 15). One without a
 /// class is invalid, and an interim one ends no exchange.
@@ -20,6 +21,10 @@
 ErrorCode CheckResponseHeader(
     const http::response_parser<http::string_body>& parser);
 
+/// Checks the header of a request; returns no error if its body can be
+/// delimited and decoded.
+ErrorCode CheckRequestHeader(const http::request_header<>& header);
+
 /// Whether the error means that the received bytes are no valid response,
 /// rather than that the response is incomplete or too large.
 bool IsInvalidMessage(const ErrorCode& error);
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -342,14 +342,22 @@
   BOOST_TEST(server.StartedRequests() == 2);
 }
 
-// Guards against a request whose length is hidden in another field, so that its
-// body is taken for the next request.
+// Guards against a request whose body is taken for the next request, or whose
+// length is hidden in another field.
 BOOST_AUTO_TEST_CASE(request_whose_body_is_ambiguous_is_refused) {
   const std::string second = "GET /second HTTP/1.1\r\nHost: a\r\n\r\n";
+  const std::string chunks = "0\r\n\r\n" + second;
   for (const std::string& rest : std::vector<std::string>{
            "A: b\r\n Content-Length: 4\r\n\r\n" + second,
            "A: b\r\n\tContent-Length: 4\r\n\r\n" + second,
            "Transfer-Encoding: chunked\r\n\r\n0\r\nA: b\r\n C: d\r\n\r\n",
+           "Transfer-Encoding: chunked, chunked\r\n\r\n" + chunks,
+           "Transfer-Encoding: gzip\r\n\r\n" + chunks,
+           "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunks,
+           "Transfer-Encoding: chunked, gzip\r\n\r\n" + chunks,
+           "Transfer-Encoding: identity\r\n\r\n" + chunks,
+           "Transfer-Encoding: \r\n\r\n" + chunks,
+           "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n" + chunks,
            "Content-Length : 4\r\n\r\n" + second,
            "Content Length: 4\r\n\r\n" + second,
            "Content-Length\x01: 4\r\n\r\n" + second}) {
