Test bodies and health checks beside invalid responses

A body that looks like folded fields is passed on whole; without this case no test noticed a check that looks at bodies too. A health check doesn't believe a response with status 000: on such a response, which said that the target stays cold for 600 s, kept it cold after the next valid one.

Valid responses of the stand-in no longer close their connections behind a length: the client may take such a connection for its next request before it notices, which failed body_may_look_like_folded_fields twice while it was written.

--- a/tests/end_to_end/invalid_response_test.cc
+++ b/tests/end_to_end/invalid_response_test.cc
@@ -91,6 +91,14 @@
     return received;
   }
 
+  /// Whether the node logs in time that the response to a request, or to a
+  /// health check if the id is empty, is invalid.
+  bool IsLogged(const std::string& id) {
+    const std::string entry = std::string(kLogName) + " request=\"" + id + "\"";
+    return WaitUntil(
+        [&] { return Contains(this->fleet.ReadNodeLog(this->front), entry); });
+  }
+
   bool IsServing() {
     return this->SendBytes("GET", "sound").starts_with("HTTP/1.1 200 ");
   }
@@ -153,7 +161,8 @@
                false, false});
           const std::string valid = this->SendUntilTaken("GET");
           BOOST_TEST(valid.starts_with("HTTP/1.1 200 "), valid);
-          this->target->SetAnswer({response.bytes, in_single_bytes, true});
+          this->target->SetAnswer(
+              {response.bytes, in_single_bytes, response.closes});
           CheckIsBadGateway(this->SendUntilTaken(method), response.name);
         }
       }
@@ -165,7 +174,8 @@
   this->Start();
   for (const RawResponse& response : ValidResponses()) {
     for (const bool in_single_bytes : {false, true}) {
-      this->target->SetAnswer({response.bytes, in_single_bytes, true});
+      this->target->SetAnswer(
+          {response.bytes, in_single_bytes, response.closes});
       const std::string received = this->SendUntilTaken("GET");
       BOOST_TEST(received.starts_with(response.bytes.substr(0, 12)),
                  response.name << ": " << received);
@@ -178,14 +188,7 @@
   this->Start();
   this->target->SetAnswer({MakeRawResponse("000 Odd"), false, false});
   CheckIsBadGateway(this->SendUntilTaken("POST"), "status 000");
-  const std::string id = "r-" + std::to_string(this->sent_count);
-  BOOST_TEST(WaitUntil([&] {
-    const std::string log = this->fleet.ReadNodeLog(this->front);
-    const std::size_t start = log.find(kLogName);
-    return start != std::string::npos &&
-           Contains(log.substr(start, log.find('\n', start) - start),
-                    "request=\"" + id + "\"");
-  }));
+  BOOST_TEST(this->IsLogged("r-" + std::to_string(this->sent_count)));
   Call call;
   call.path = "/metrics";
   const HttpResponse metrics = Send(this->front.operator_address, call);
@@ -193,6 +196,29 @@
       Contains(metrics.body(), "\ndaisywinch_invalid_responses_total 1\n"));
 }
 
+// Guards against a health check that believes an invalid response.
+BOOST_AUTO_TEST_CASE(invalid_response_to_a_health_check_is_not_believed) {
+  this->Start();
+  const std::string rest =
+      "\r\nX-Daisywinch-Instance-Id: " + this->front.target_id +
+      "\r\nContent-Length: 0\r\n";
+  this->target->SetHealthAnswer(
+      {"HTTP/1.1 000 Odd\r\nX-Daisywinch-Cold-Start-Ms: 600000" + rest + "\r\n",
+       false, false});
+  // The node checks the health of a target that closes its connections.
+  this->front.target_proxy->ResetConnections();
+  this->SendUntilTaken("GET");
+  BOOST_TEST(this->IsLogged(""));
+  this->target->SetHealthAnswer(
+      {"HTTP/1.1 200 OK" + rest + "\r\n", false, false});
+  BOOST_TEST(WaitUntil([this] {
+    return !GetJson(this->front.operator_address, "/status")
+                .at("gate")
+                .at("cold")
+                .as_bool();
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(only_a_repeatable_request_goes_to_another_target) {
   MeshVm& other = this->fleet.AddVm("west", "front");
   this->Start();
@@ -232,7 +258,8 @@
   for (const RawResponse& response : InvalidResponses()) {
     for (const bool in_single_bytes : {false, true}) {
       BOOST_TEST(this->IsServing(), "before " + response.name);
-      this->target->SetAnswer({response.bytes, in_single_bytes, true});
+      this->target->SetAnswer(
+          {response.bytes, in_single_bytes, response.closes});
       CheckIsBadGateway(this->SendMap(), response.name);
       const std::string key = "odd-" + std::to_string(++number);
       const int before = this->target->RequestCount();
@@ -250,7 +277,8 @@
 BOOST_AUTO_TEST_CASE(valid_responses_reach_the_caller) {
   for (const RawResponse& response : ValidResponses()) {
     for (const bool in_single_bytes : {false, true}) {
-      this->target->SetAnswer({response.bytes, in_single_bytes, true});
+      this->target->SetAnswer(
+          {response.bytes, in_single_bytes, response.closes});
       const std::string received = this->SendMap();
       BOOST_TEST(received.starts_with(response.bytes.substr(0, 12)),
                  response.name << ": " << received);
--- a/tests/standins/raw_target.cc
+++ b/tests/standins/raw_target.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr char kAttemptId[] = "X-Daisywinch-Attempt-Id";
+constexpr char kHealthPath[] = "/health";
 constexpr std::string_view kPlaceholder = "{id}";
 /// Time between single bytes, so that they are read one by one.
 constexpr std::chrono::microseconds kByteInterval{100};
@@ -27,9 +28,11 @@
 
 }  // namespace
 
-RawTarget::RawTarget(const Address& address, std::string instance_id)
-    : instance_id(std::move(instance_id)),
-      acceptor(this->context, ToEndpoint(address)) {
+RawTarget::RawTarget(const Address& address, const std::string& instance_id)
+    : acceptor(this->context, ToEndpoint(address)) {
+  this->health_answer.bytes =
+      "HTTP/1.1 200 OK\r\nX-Daisywinch-Instance-Id: " + instance_id +
+      "\r\nContent-Length: 0\r\n\r\n";
   asio::co_spawn(this->context, this->Accept(), asio::detached);
   this->thread = std::thread([this] { this->context.run(); });
 }
@@ -44,6 +47,11 @@
   this->answer = new_answer;
 }
 
+void RawTarget::SetHealthAnswer(const RawAnswer& new_answer) {
+  const std::lock_guard lock(this->mutex);
+  this->health_answer = new_answer;
+}
+
 Address RawTarget::ListenAddress() const {
   const Tcp::endpoint endpoint = this->acceptor.local_endpoint();
   return {endpoint.address().to_string(), endpoint.port()};
@@ -74,7 +82,7 @@
     if (error) {
       break;
     }
-    if (request.target() != "/health") {
+    if (request.target() != kHealthPath) {
       ++this->request_count;
       this->connection_count += is_counted ? 0 : 1;
       is_counted = true;
@@ -104,14 +112,10 @@
 }
 
 RawAnswer RawTarget::AnswerTo(const HttpRequest& request) const {
-  if (request.target() == "/health") {
-    RawAnswer healthy;
-    healthy.bytes =
-        "HTTP/1.1 200 OK\r\nX-Daisywinch-Instance-Id: " + this->instance_id +
-        "\r\nContent-Length: 0\r\n\r\n";
-    return healthy;
-  }
   const std::lock_guard lock(this->mutex);
+  if (request.target() == kHealthPath) {
+    return this->health_answer;
+  }
   RawAnswer raw_answer = this->answer;
   raw_answer.bytes = ReplacePlaceholder(raw_answer.bytes,
                                         std::string_view(request[kAttemptId]));
--- a/tests/standins/raw_target.h
+++ b/tests/standins/raw_target.h
@@ -23,18 +23,20 @@
 };
 
 /// Stand-in for a target that answers with given bytes, which needn't be a
-/// valid response. Health checks, on the path /health, always get a valid one.
-/// Runs on a thread of its own.
+/// valid response. Health checks, on the path /health, get a valid one unless
+/// another is set. Runs on a thread of its own.
 class RawTarget {
  public:
   /// Throws boost::system::system_error if it can't listen on the address.
-  RawTarget(const Address& address, std::string instance_id);
+  RawTarget(const Address& address, const std::string& instance_id);
   ~RawTarget();
   RawTarget(const RawTarget&) = delete;
   RawTarget& operator=(const RawTarget&) = delete;
 
-  /// Sets the answer to all requests from now on.
+  /// Sets the answer to all requests from now on, without health checks.
   void SetAnswer(const RawAnswer& new_answer);
+  /// Sets the answer to all health checks from now on.
+  void SetHealthAnswer(const RawAnswer& new_answer);
 
   Address ListenAddress() const;
   /// Number of requests received, without health checks.
@@ -51,10 +53,10 @@
   RawAnswer AnswerTo(const HttpRequest& request) const;
 
   asio::io_context context{1};
-  std::string instance_id;
   Tcp::acceptor acceptor;
   mutable std::mutex mutex;
   RawAnswer answer;
+  RawAnswer health_answer;
   std::atomic<int> request_count = 0;
   std::atomic<int> connection_count = 0;
   std::thread thread;
--- a/tests/support/raw_responses.cc
+++ b/tests/support/raw_responses.cc
@@ -141,6 +141,9 @@
         InvalidTransferCodings(), OtherInvalidHeaders()}) {
     all.insert(all.end(), responses.begin(), responses.end());
   }
+  for (RawResponse& response : all) {
+    response.closes = true;
+  }
   return all;
 }
 
@@ -155,7 +158,7 @@
                     "TRANSFER-ENCODING: CHUNKED\r\n\r\n" + Chunks() + "\r\n")},
       {"trailer",
        MakeResponse("200 OK", Chunked() + "\r\n" + Chunks() + "A: b\r\n\r\n")},
-      {"end of the connection", MakeResponse("200 OK", "\r\nok")},
+      {"end of the connection", MakeResponse("200 OK", "\r\nok"), true},
       {"body that begins like a folded line",
        MakeResponse("200 OK", Length() + "\r\n \t")},
       {"empty value", MakeRawResponse("200 OK", "A:\r\n")},
--- a/tests/support/raw_responses.h
+++ b/tests/support/raw_responses.h
@@ -8,10 +8,12 @@
 namespace daisywinch::test {
 
 /// The bytes of a response, in which "{id}" stands for the attempt id of the
-/// request, and the end of its connection.
+/// request.
 struct RawResponse {
   std::string name;
   std::string bytes;
+  /// The response ends with its connection.
+  bool closes = false;
 
   friend std::ostream& operator<<(std::ostream& stream,
                                   const RawResponse& response) {
@@ -19,7 +21,8 @@
   }
 };
 
-/// Responses with the attempt id and a signature that aren't valid HTTP.
+/// Responses with the attempt id and a signature that aren't valid HTTP. Their
+/// connections are closed, as many have no other end.
 std::vector<RawResponse> InvalidResponses();
 
 /// Valid responses with the attempt id and a signature; a body has two bytes.
--- a/tests/transport/invalid_response_test.cc
+++ b/tests/transport/invalid_response_test.cc
@@ -73,7 +73,8 @@
 
 /// The ways to send the bytes of a response.
 std::vector<RawAnswer> AnswersOf(const RawResponse& response) {
-  return {{response.bytes, false, true}, {response.bytes, true, true}};
+  return {{response.bytes, false, response.closes},
+          {response.bytes, true, response.closes}};
 }
 
 /// A gate that returns a given reply, and a client that calls it.
@@ -186,12 +187,34 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(body_may_look_like_folded_fields) {
+  const std::string body = "A: b\r\n C: d\r\n\r\n e";
+  std::vector<RawAnswer> answers = {
+      {"HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\n", false, false},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n11\r\n", false,
+       false},
+      {"HTTP/1.1 200 OK\r\n\r\n", false, true}};
+  for (RawAnswer& answer : answers) {
+    answer.bytes += body;
+  }
+  answers[1].bytes += "\r\n0\r\n\r\n";
+  for (RawAnswer& answer : answers) {
+    for (const bool in_single_bytes : {false, true}) {
+      answer.in_single_bytes = in_single_bytes;
+      this->target.SetAnswer(answer);
+      const TargetExchange exchange = this->Exchange();
+      BOOST_TEST((exchange.end == End::kAnswered));
+      BOOST_TEST(exchange.response.body() == body);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(response_to_head_has_no_body) {
   for (const char* framing :
        {"Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n",
         "Transfer-Encoding: gzip, chunked\r\n"}) {
     this->target.SetAnswer(
-        {"HTTP/1.1 200 OK\r\n" + std::string(framing) + "\r\n", false, true});
+        {"HTTP/1.1 200 OK\r\n" + std::string(framing) + "\r\n", false, false});
     BOOST_TEST((this->Exchange(http::verb::head).end == End::kAnswered),
                framing);
   }
@@ -205,8 +228,7 @@
   const RawAnswer valid = {MakeRawResponse("200 OK"), false, false};
   this->target.SetAnswer(valid);
   BOOST_TEST((this->Exchange().end == End::kAnswered));
-  // Bytes behind the invalid response end it if it has no length.
-  this->target.SetAnswer({response.bytes, false, true});
+  this->target.SetAnswer({response.bytes, false, response.closes});
   BOOST_TEST((this->Exchange().end != End::kAnswered));
   BOOST_TEST(this->target.ConnectionCount() == 1);
   this->target.SetAnswer(valid);
