Show that a refusal after an invalid response isn't true

A repeatable request whose first target answers with status 000 may have run. When its second target refuses it, the caller gets 503 with Retry-After, which says that it has not run: MeshIngress::SendWithRetries() returns the last reply.

--- a/tests/end_to_end/invalid_response_test.cc
+++ b/tests/end_to_end/invalid_response_test.cc
@@ -249,6 +249,19 @@
   }
 }
 
+// Guards against a refusal that says of a request that it has not run, although
+// a target that gave an invalid response may have run it.
+BOOST_AUTO_TEST_CASE(refusal_after_an_invalid_response_does_not_mean_not_run) {
+  MeshVm& other = this->fleet.AddVm("west", "front");
+  this->Start();
+  for (int number = 0; number < kRequestsForRetries; ++number) {
+    this->SendBytes("GET", "first-" + std::to_string(number));
+  }
+  this->fleet.SetTargetBehaviour(other, "sheds=1");
+  this->target->SetAnswer({MakeRawResponse("000 Odd"), false, false});
+  CheckIsBadGateway(this->SendUntilTaken("GET"), "refused elsewhere");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(invalid_response_of_a_target, FleetFixture)
