Log when an ingress learns that a target leaves

Reports of requests that reach a target after it stated that it leaves couldn't be traced: event 4004 is the gate's alone, and doesn't say whether a response to a request or a health check told it. The ingress, which is the one that must not send any more, logged nothing.

Event 4007 names the run, who told the ingress, and the request by whose reply. Event 4004 has the source. Together with the targets in the line of a request they tell whether a late request came from an ingress that knew, and whether the gate had taken the statement back. No decision changes.

--- a/src/node/mesh_gate.cc
+++ b/src/node/mesh_gate.cc
@@ -363,13 +363,13 @@
       switch (
           platform::ClassifyResponse(exchange.response, request.attempt_id())) {
         case platform::ResponseClass::kAnswered:
-          this->RecordNotice(exchange.response, sent_at);
+          this->RecordNotice(exchange.response, sent_at, "response");
           this->fatal_requests.RecordAnswered(request.digest(), now);
           reply.set_outcome(protocol::OUTCOME_ANSWERED);
           platform::MoveToReply(exchange.response, reply);
           break;
         case platform::ResponseClass::kNotRun:
-          this->RecordNotice(exchange.response, sent_at);
+          this->RecordNotice(exchange.response, sent_at, "response");
           reply = MakeRefusedReply(RefusalReason::kShedByTarget);
           break;
         case platform::ResponseClass::kOtherTarget:
@@ -387,7 +387,9 @@
   return reply;
 }
 
-void MeshGate::RecordNotice(const HttpResponse& response, TimePoint sent_at) {
+void MeshGate::RecordNotice(const HttpResponse& response,
+                            TimePoint sent_at,
+                            std::string_view source) {
   this->has_target_responded = true;
   const std::optional<TargetNotice> notice =
       platform::ReadTargetNotice(response);
@@ -396,7 +398,7 @@
   }
   const TimePoint now = this->clock.Now();
   this->notices.Record(*notice, sent_at, now);
-  this->LogNoticeChange(now);
+  this->LogNoticeChange(source, now);
 }
 
 Awaitable<> MeshGate::RunHealthChecks() {
@@ -443,7 +445,7 @@
   }
   // A target that isn't healthy may not name itself.
   if (answer->target_id.empty() || answer->target_id == local_id) {
-    this->RecordNotice(exchange.response, sent_at);
+    this->RecordNotice(exchange.response, sent_at, "health");
   }
 }
 
@@ -507,7 +509,7 @@
   return this->local_target == nullptr ? "" : this->local_target->id;
 }
 
-void MeshGate::LogNoticeChange(TimePoint now) {
+void MeshGate::LogNoticeChange(std::string_view source, TimePoint now) {
   const std::optional<double> max_rate = this->notices.MaxRate();
   if (max_rate != this->logged_max_rate &&
       now - this->max_rate_logged_at >= kMaxRateLogInterval) {
@@ -525,6 +527,7 @@
     LogEvent(EventId::kTargetStatesLeaving,
              {{"target", this->LocalTargetId()},
               {"leaving", this->logged_leaving ? "true" : "false"},
+              {"source", source},
               {"record", this->local_target == nullptr ? "none"
                          : this->local_target->leaving ? "leaving"
                                                        : "ready"}});
--- a/src/node/mesh_gate.h
+++ b/src/node/mesh_gate.h
@@ -128,8 +128,10 @@
   /// Reports a crash of the target when all its connections have been closed.
   Awaitable<> ReportCrash();
   /// Applies what the target states in a response to a request that was sent at
-  /// `sent_at`.
-  void RecordNotice(const HttpResponse& response, TimePoint sent_at);
+  /// `sent_at`. `source` is for the log.
+  void RecordNotice(const HttpResponse& response,
+                    TimePoint sent_at,
+                    std::string_view source);
   void StartQueuedCalls();
   void RefuseQueuedCalls(RefusalReason reason);
   void EndWait(std::uint64_t id, RefusalReason result);
@@ -141,8 +143,8 @@
   /// Empty while the local target is not registered.
   std::string LocalTargetId() const;
   void LogColdStateChange();
-  /// Logs a change of what the target states.
-  void LogNoticeChange(TimePoint now);
+  /// Logs a change of what the target states, and how the gate learned of it.
+  void LogNoticeChange(std::string_view source, TimePoint now);
   void RecordCancellation(const std::string& attempt_id,
                           CancellationCause cause,
                           CallState state,
--- a/src/node/mesh_ingress.cc
+++ b/src/node/mesh_ingress.cc
@@ -398,9 +398,10 @@
     load.service_time =
         std::chrono::microseconds(reply.load().work_microseconds());
     this->balancer.RecordLoad(target_id, load, now);
-    if (reply.load().has_leaving()) {
-      this->balancer.RecordLeaving(reply.load().leaving().target_id(),
-                                   reply.load().leaving().born(), now);
+    if (reply.load().has_leaving() &&
+        this->balancer.RecordLeaving(reply.load().leaving().target_id(),
+                                     reply.load().leaving().born(), now)) {
+      this->LogLeavingRun(call, reply.load().leaving(), "gate");
     }
   }
   co_return reply;
@@ -574,6 +575,15 @@
        {"left_out", *left_out}});
 }
 
+void MeshIngress::LogLeavingRun(const Call& call,
+                                const protocol::TargetRun& run,
+                                std::string_view source) {
+  LogEvent(EventId::kLeavingRunKnown, {{"target", run.target_id()},
+                                       {"born", std::to_string(run.born())},
+                                       {"source", source},
+                                       {"request", call.attempt_id}});
+}
+
 void MeshIngress::LogCancellation(const Call& call, CancellationCause cause) {
   const TimePoint now = this->clock.Now();
   const std::optional<std::uint64_t> left_out =
--- a/src/node/mesh_ingress.h
+++ b/src/node/mesh_ingress.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 #include "coordination/distributed_rate_limiter.h"
@@ -127,6 +128,10 @@
       Call& call,
       const MeshTarget& target,
       std::shared_ptr<Cancellation> cancellation);
+  /// Logs that the ingress learned that a run of a target leaves.
+  void LogLeavingRun(const Call& call,
+                     const protocol::TargetRun& run,
+                     std::string_view source);
   /// Notes the attempt id of a request whose caller left before it was read.
   RefusalReason RefuseUnread(const HttpRequest& request, Call& call);
   void LogCancellation(const Call& call, CancellationCause cause);
--- a/src/state/event_log.cc
+++ b/src/state/event_log.cc
@@ -159,8 +159,8 @@
     EventDescription{EventId::kTargetStatesLeaving, kInformation,
                      "target-states-leaving",
                      "The target states in its responses that it leaves, or "
-                     "another run of it no longer does; record says what the "
-                     "store has."},
+                     "another run of it no longer does; source says how the "
+                     "gate learned that, and record what the store has."},
     EventDescription{EventId::kTargetCrashed, kWarning, "target-crashed",
                      "The process of the target ended while it was running "
                      "requests; requests holds the digests of some of them, as "
@@ -170,6 +170,10 @@
                      "The target's response to a request or health check isn't "
                      "valid HTTP and is not passed on; its connection is "
                      "closed."},
+    EventDescription{
+        EventId::kLeavingRunKnown, kInformation, "leaving-run-known",
+        "The ingress learned that a run of a target leaves, from "
+        "the reply to the named request; source says who told it."},
     EventDescription{EventId::kAdmissionChanged, kInformation,
                      "admission-changed",
                      "The admitted fraction of a class of root requests "
--- a/src/state/event_log.h
+++ b/src/state/event_log.h
@@ -57,6 +57,7 @@
   kTargetStatesLeaving = 4004,
   kTargetCrashed = 4005,
   kTargetResponseInvalid = 4006,
+  kLeavingRunKnown = 4007,
   kAdmissionChanged = 5001,
   kCustomerOverRate = 5002,
   kRequestJudgedFatal = 5003,
--- a/src/state/mesh_load_balancer.cc
+++ b/src/state/mesh_load_balancer.cc
@@ -194,12 +194,14 @@
       0, load.in_flight + load.queued - std::max(0, state.local_in_flight - 1));
 }
 
-void MeshLoadBalancer::RecordLeaving(const std::string& target_id,
+bool MeshLoadBalancer::RecordLeaving(const std::string& target_id,
                                      std::int64_t born,
                                      TimePoint now) {
   TargetState& state = this->states[target_id];
+  const bool is_news = state.leaving_born != born || now >= state.leaving_until;
   state.leaving_born = born;
   state.leaving_until = now + kLeavingTime;
+  return is_news;
 }
 
 }  // namespace daisywinch
--- a/src/state/mesh_load_balancer.h
+++ b/src/state/mesh_load_balancer.h
@@ -72,8 +72,8 @@
                   const TargetLoad& load,
                   TimePoint now);
   /// Records that a run of a target states that it leaves. It is not chosen for
-  /// some time; then its gate may be asked again.
-  void RecordLeaving(const std::string& target_id,
+  /// some time; then its gate may be asked again. Returns whether that is news.
+  bool RecordLeaving(const std::string& target_id,
                      std::int64_t born,
                      TimePoint now);
 
