Keep targets that state that they leave out of use until their run ends

Callers' requests reached a target after the node that took them had passed on a response of it with Server-Leaving, the more the longer the target took to go.

Cause: what a run has said of itself for good was kept like a hint that may be out of date. An ingress forgot it after 5 s, the gate with any response that lacked the field (also one to a health check, or a failure without a signature), and a restarted gate knew nothing. Then nothing stood between the ingress and the target while its record said that it is ready.

A statement now holds for the rest of the run (LeavingRuns at the ingress, TargetNotices at the gate). It ends with the record of another run, or when the gate sees a sign that the process may have ended and then a signed or healthy response that lacks the field. An ingress notes the field on each response that it gets from a gate, whatever the gate knows. Every 5 s it may ask the gate with a call that names the run; the gate takes that over, and refuses the call, unless it saw the end of the run and says so. So a restarted gate hears what its target said from whoever passed it on, and a target that restarts while the store is away gets requests again.

statement_of_a_target_holds_until_a_later_response expected the statement to end with any later response that lacks it, which is the fault.

--- a/src/node/mesh_gate.cc
+++ b/src/node/mesh_gate.cc
@@ -160,6 +160,9 @@
     std::shared_ptr<Cancellation> cancellation,
     CallState& state) {
   this->RefreshView();
+  if (request.has_leaving()) {
+    this->RecordLeavingReport(request.leaving());
+  }
   const TimePoint deadline =
       this->clock.Now() +
       std::chrono::microseconds(request.remaining_microseconds());
@@ -331,6 +334,7 @@
   if (exchange.connection_dropped) {
     this->cold_state.RecordPossibleRestart(now);
   }
+  this->RecordPossibleRestart(exchange, sent_at);
   if (!exchange.fault.empty()) {
     this->LogInvalidResponse(request.attempt_id(), exchange);
   }
@@ -363,13 +367,17 @@
       switch (
           platform::ClassifyResponse(exchange.response, request.attempt_id())) {
         case platform::ResponseClass::kAnswered:
-          this->RecordNotice(exchange.response, sent_at, "response");
+          this->RecordNotice(exchange.response,
+                             platform::IsSigned(exchange.response), sent_at,
+                             "response");
           this->fatal_requests.RecordAnswered(request.digest(), now);
           reply.set_outcome(protocol::OUTCOME_ANSWERED);
           platform::MoveToReply(exchange.response, reply);
           break;
         case platform::ResponseClass::kNotRun:
-          this->RecordNotice(exchange.response, sent_at, "response");
+          this->RecordNotice(exchange.response,
+                             platform::IsSigned(exchange.response), sent_at,
+                             "response");
           reply = MakeRefusedReply(RefusalReason::kShedByTarget);
           break;
         case platform::ResponseClass::kOtherTarget:
@@ -388,6 +396,7 @@
 }
 
 void MeshGate::RecordNotice(const HttpResponse& response,
+                            bool is_genuine,
                             TimePoint sent_at,
                             std::string_view source) {
   this->has_target_responded = true;
@@ -397,10 +406,32 @@
     return;
   }
   const TimePoint now = this->clock.Now();
-  this->notices.Record(*notice, sent_at, now);
+  this->notices.Record(*notice, is_genuine, sent_at, now);
   this->LogNoticeChange(source, now);
 }
 
+void MeshGate::RecordLeavingReport(const protocol::TargetRun& run) {
+  if (run.target_id() != this->LocalTargetId()) {
+    return;
+  }
+  const TimePoint now = this->clock.Now();
+  this->notices.RecordReport(run.born(), now);
+  this->LogNoticeChange("node", now);
+  this->StartQueuedCalls();
+}
+
+void MeshGate::RecordPossibleRestart(const TargetExchange& exchange,
+                                     TimePoint sent_at) {
+  if (exchange.connection_dropped) {
+    // The target closed the connection before the request was sent.
+    this->notices.RecordPossibleRestart(sent_at);
+  }
+  if (exchange.end == TargetExchange::End::kNotSent ||
+      exchange.end == TargetExchange::End::kResponseLost) {
+    this->notices.RecordPossibleRestart(this->clock.Now());
+  }
+}
+
 Awaitable<> MeshGate::RunHealthChecks() {
   while (true) {
     this->health_timer.expires_after(kHealthInterval);
@@ -427,6 +458,7 @@
   if (exchange.connection_refused) {
     this->RecordProcessEnd();
   }
+  this->RecordPossibleRestart(exchange, sent_at);
   if (!exchange.fault.empty()) {
     this->LogInvalidResponse("", exchange);
   }
@@ -445,7 +477,8 @@
   }
   // A target that isn't healthy may not name itself.
   if (answer->target_id.empty() || answer->target_id == local_id) {
-    this->RecordNotice(exchange.response, sent_at, "health");
+    const bool is_genuine = answer->is_healthy && answer->target_id == local_id;
+    this->RecordNotice(exchange.response, is_genuine, sent_at, "health");
   }
 }
 
@@ -645,6 +678,9 @@
   if (this->local_target != nullptr && this->notices.IsLeaving()) {
     load->mutable_leaving()->set_target_id(this->local_target->id);
     load->mutable_leaving()->set_born(this->local_target->born);
+  } else if (this->local_target != nullptr && this->notices.HasRunEnded()) {
+    load->mutable_ended()->set_target_id(this->local_target->id);
+    load->mutable_ended()->set_born(this->local_target->born);
   }
 }
 
--- a/src/node/mesh_gate.h
+++ b/src/node/mesh_gate.h
@@ -128,10 +128,17 @@
   /// Reports a crash of the target when all its connections have been closed.
   Awaitable<> ReportCrash();
   /// Applies what the target states in a response to a request that was sent at
-  /// `sent_at`. `source` is for the log.
+  /// `sent_at`; see TargetNotices::Record(). `source` is for the log.
   void RecordNotice(const HttpResponse& response,
+                    bool is_genuine,
                     TimePoint sent_at,
                     std::string_view source);
+  /// Applies that, by what the sender of a call was told, a run of the target
+  /// leaves.
+  void RecordLeavingReport(const protocol::TargetRun& run);
+  /// Records whether the end of an exchange is a sign that the process of the
+  /// target has ended.
+  void RecordPossibleRestart(const TargetExchange& exchange, TimePoint sent_at);
   void StartQueuedCalls();
   void RefuseQueuedCalls(RefusalReason reason);
   void EndWait(std::uint64_t id, RefusalReason result);
--- a/src/node/mesh_ingress.cc
+++ b/src/node/mesh_ingress.cc
@@ -365,7 +365,13 @@
     std::shared_ptr<Cancellation> cancellation) {
   protocol::CallRequest message = call.message;
   const std::string target_id = target.id;
+  protocol::TargetRun run;
+  run.set_target_id(target_id);
+  run.set_born(target.born);
   message.set_target_id(target_id);
+  if (this->balancer.Leaving().IsLeaving(target)) {
+    *message.mutable_leaving() = run;
+  }
   message.set_objective_microseconds(ToMicroseconds(
       call.started + ObjectiveOf(*call.route) - this->clock.Now()));
   message.set_tree_objective_microseconds(
@@ -398,15 +404,49 @@
     load.service_time =
         std::chrono::microseconds(reply.load().work_microseconds());
     this->balancer.RecordLoad(target_id, load, now);
-    if (reply.load().has_leaving() &&
-        this->balancer.RecordLeaving(reply.load().leaving().target_id(),
-                                     reply.load().leaving().born(), now)) {
-      this->LogLeavingRun(call, reply.load().leaving(), "gate");
-    }
   }
+  this->RecordRunState(call, run, reply);
   co_return reply;
 }
 
+void MeshIngress::RecordRunState(const Call& call,
+                                 const protocol::TargetRun& run,
+                                 const protocol::CallReply& reply) {
+  const protocol::TargetRun& ended = reply.load().ended();
+  if (reply.load().has_ended() &&
+      this->balancer.Leaving().RecordEnd(ended.target_id(), ended.born())) {
+    this->LogRunState(call, ended, false, "gate");
+  }
+  if (reply.load().has_leaving()) {
+    this->RecordLeaving(call, reply.load().leaving(), "gate");
+  }
+  // The gate may know nothing of the run, as its record is gone.
+  if (platform::StatesLeaving(reply)) {
+    this->RecordLeaving(call, run, "response");
+  }
+}
+
+void MeshIngress::RecordLeaving(const Call& call,
+                                const protocol::TargetRun& run,
+                                std::string_view source) {
+  if (this->balancer.Leaving().RecordLeaving(run.target_id(), run.born(),
+                                             this->clock.Now())) {
+    this->LogRunState(call, run, true, source);
+  }
+}
+
+void MeshIngress::LogRunState(const Call& call,
+                              const protocol::TargetRun& run,
+                              bool is_leaving,
+                              std::string_view source) {
+  LogEvent(EventId::kLeavingRunKnown,
+           {{"target", run.target_id()},
+            {"born", std::to_string(run.born())},
+            {"leaving", is_leaving ? "true" : "false"},
+            {"source", source},
+            {"request", call.attempt_id}});
+}
+
 RetryBudget& MeshIngress::RetryBudgetFor(const Call& call) {
   const FleetLoad& load = this->root_admitter.Load();
   const bool is_leaf = load.IsLeaf(call.load_class.route, call.service);
@@ -575,15 +615,6 @@
        {"left_out", *left_out}});
 }
 
-void MeshIngress::LogLeavingRun(const Call& call,
-                                const protocol::TargetRun& run,
-                                std::string_view source) {
-  LogEvent(EventId::kLeavingRunKnown, {{"target", run.target_id()},
-                                       {"born", std::to_string(run.born())},
-                                       {"source", source},
-                                       {"request", call.attempt_id}});
-}
-
 void MeshIngress::LogCancellation(const Call& call, CancellationCause cause) {
   const TimePoint now = this->clock.Now();
   const std::optional<std::uint64_t> left_out =
--- a/src/node/mesh_ingress.h
+++ b/src/node/mesh_ingress.h
@@ -128,10 +128,18 @@
       Call& call,
       const MeshTarget& target,
       std::shared_ptr<Cancellation> cancellation);
-  /// Logs that the ingress learned that a run of a target leaves.
-  void LogLeavingRun(const Call& call,
+  /// Applies what the reply to a call, which was sent to a run of a target,
+  /// says about the end of that run.
+  void RecordRunState(const Call& call,
+                      const protocol::TargetRun& run,
+                      const protocol::CallReply& reply);
+  void RecordLeaving(const Call& call,
                      const protocol::TargetRun& run,
                      std::string_view source);
+  void LogRunState(const Call& call,
+                   const protocol::TargetRun& run,
+                   bool is_leaving,
+                   std::string_view source);
   /// Notes the attempt id of a request whose caller left before it was read.
   RefusalReason RefuseUnread(const HttpRequest& request, Call& call);
   void LogCancellation(const Call& call, CancellationCause cause);
--- a/src/platform/attempt_messages.cc
+++ b/src/platform/attempt_messages.cc
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <utility>
 
+#include <boost/beast/core/string.hpp>
+
 namespace daisywinch::platform {
 
 namespace {
@@ -26,6 +28,7 @@
 constexpr char kColdLeft[] = "X-Daisywinch-Cold-Start-Ms";
 constexpr char kMaxRate[] = "Server-Limit";
 constexpr char kLeaving[] = "Server-Leaving";
+constexpr std::string_view kIsLeaving = "1";
 constexpr char kReason[] = "X-Daisywinch-Reason";
 constexpr std::string_view kBearerPrefix = "Bearer ";
 /// A status is a success if it is at least kFirstSuccess and below
@@ -150,12 +153,11 @@
   }
   const int status = static_cast<int>(response.result_int());
   const bool is_success = status >= kFirstSuccess && status < kFirstRedirect;
-  const bool is_signed = response.find(kSignature) != response.end();
-  if (PromisesNotRun(response.result()) && !is_signed) {
+  if (PromisesNotRun(response.result()) && !IsSigned(response)) {
     return ResponseClass::kInvalid;
   }
   if (is_success &&
-      (!is_signed ||
+      (!IsSigned(response) ||
        response.find(http::field::content_encoding) != response.end())) {
     return ResponseClass::kInvalid;
   }
@@ -176,14 +178,26 @@
     }
   }
   if (!leaving.empty()) {
-    if (*leaving.begin() != "0" && *leaving.begin() != "1") {
+    if (*leaving.begin() != "0" && *leaving.begin() != kIsLeaving) {
       return std::nullopt;
     }
-    notice.is_leaving = *leaving.begin() == "1";
+    notice.is_leaving = *leaving.begin() == kIsLeaving;
   }
   return notice;
 }
 
+bool StatesLeaving(const protocol::CallReply& reply) {
+  return std::any_of(reply.headers().begin(), reply.headers().end(),
+                     [](const protocol::Header& header) {
+                       return boost::beast::iequals(header.name(), kLeaving) &&
+                              header.value() == kIsLeaving;
+                     });
+}
+
+bool IsSigned(const http::response_header<>& response) {
+  return response.find(kSignature) != response.end();
+}
+
 void MoveToReply(HttpResponse& response, protocol::CallReply& reply) {
   reply.set_status(response.result_int());
   RemoveHopByHopFields(response);
--- a/src/platform/attempt_messages.h
+++ b/src/platform/attempt_messages.h
@@ -55,6 +55,12 @@
 /// least 0, or if a field has several values.
 std::optional<TargetNotice> ReadTargetNotice(const HttpResponse& response);
 
+/// Whether the target's response in a reply states that the target leaves.
+bool StatesLeaving(const protocol::CallReply& reply);
+
+/// Whether the response bears the signature of the target.
+bool IsSigned(const http::response_header<>& response);
+
 /// Moves a target's response into a reply, without hop-by-hop fields.
 void MoveToReply(HttpResponse& response, protocol::CallReply& reply);
 
--- a/src/state/event_log.cc
+++ b/src/state/event_log.cc
@@ -170,10 +170,11 @@
                      "The target's response to a request or health check isn't "
                      "valid HTTP and is not passed on; its connection is "
                      "closed."},
-    EventDescription{
-        EventId::kLeavingRunKnown, kInformation, "leaving-run-known",
-        "The ingress learned that a run of a target leaves, from "
-        "the reply to the named request; source says who told it."},
+    EventDescription{EventId::kLeavingRunKnown, kInformation,
+                     "leaving-run-known",
+                     "The ingress learned that a run of a target leaves, from "
+                     "the response to the named request or from the gate, or "
+                     "that it has ended; the run gets no calls until then."},
     EventDescription{EventId::kAdmissionChanged, kInformation,
                      "admission-changed",
                      "The admitted fraction of a class of root requests "
--- a/src/state/mesh_load_balancer.cc
+++ b/src/state/mesh_load_balancer.cc
@@ -35,8 +35,6 @@
 constexpr double kMinPacedRate = 0.1;
 /// Age at which a load report is no longer used, except for the service time.
 constexpr std::chrono::milliseconds kMaxReportAge{2000};
-/// Time for which a target that leaves is not chosen.
-constexpr std::chrono::seconds kLeavingTime{5};
 constexpr std::chrono::milliseconds kInitialBackoff{200};
 constexpr int kMaxBackoffDoublings = 4;
 /// Penalty of a target in backoff, in seconds. It is large enough that such a
@@ -76,10 +74,23 @@
   if (usable.empty()) {
     return nullptr;
   }
+  const MeshTarget* chosen =
+      this->FindBest(usable, excluded, remote_penalty, now);
+  if (chosen != nullptr && this->leaving_runs.IsLeaving(*chosen)) {
+    this->leaving_runs.RecordCheck(*chosen, now);
+  }
+  return chosen;
+}
+
+const MeshTarget* MeshLoadBalancer::FindBest(
+    const std::vector<const MeshTarget*>& usable,
+    const std::set<std::string>& excluded,
+    double remote_penalty,
+    TimePoint now) {
   if (std::bernoulli_distribution(kExplorationProbability)(this->random)) {
     std::uniform_int_distribution<std::size_t> any(0, usable.size() - 1);
     const MeshTarget* explored = usable[any(this->random)];
-    if (!excluded.contains(explored->id) && !this->IsLeaving(*explored, now) &&
+    if (!excluded.contains(explored->id) && this->MayChoose(*explored, now) &&
         now >= this->states[explored->id].backoff_until) {
       return explored;
     }
@@ -88,7 +99,7 @@
   double best_seconds = 0;
   std::uniform_real_distribution<double> jitter(1, 1 + kJitter);
   for (const MeshTarget* target : usable) {
-    if (excluded.contains(target->id) || this->IsLeaving(*target, now)) {
+    if (excluded.contains(target->id) || !this->MayChoose(*target, now)) {
       continue;
     }
     const double seconds = this->ExpectedSeconds(*target, remote_penalty, now) *
@@ -101,12 +112,10 @@
   return best;
 }
 
-bool MeshLoadBalancer::IsLeaving(const MeshTarget& target,
+bool MeshLoadBalancer::MayChoose(const MeshTarget& target,
                                  TimePoint now) const {
-  const auto found = this->states.find(target.id);
-  return found != this->states.end() &&
-         found->second.leaving_born == target.born &&
-         now < found->second.leaving_until;
+  return !this->leaving_runs.IsLeaving(target) ||
+         this->leaving_runs.IsCheckDue(target, now);
 }
 
 double MeshLoadBalancer::PacingSeconds(const TargetState& state,
@@ -194,14 +203,4 @@
       0, load.in_flight + load.queued - std::max(0, state.local_in_flight - 1));
 }
 
-bool MeshLoadBalancer::RecordLeaving(const std::string& target_id,
-                                     std::int64_t born,
-                                     TimePoint now) {
-  TargetState& state = this->states[target_id];
-  const bool is_news = state.leaving_born != born || now >= state.leaving_until;
-  state.leaving_born = born;
-  state.leaving_until = now + kLeavingTime;
-  return is_news;
-}
-
 }  // namespace daisywinch
--- a/src/state/mesh_load_balancer.h
+++ b/src/state/mesh_load_balancer.h
@@ -8,8 +8,10 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "state/clock.h"
+#include "state/leaving_runs.h"
 #include "state/mesh_view.h"
 
 namespace daisywinch {
@@ -71,11 +73,9 @@
   void RecordLoad(const std::string& target_id,
                   const TargetLoad& load,
                   TimePoint now);
-  /// Records that a run of a target states that it leaves. It is not chosen for
-  /// some time; then its gate may be asked again. Returns whether that is news.
-  bool RecordLeaving(const std::string& target_id,
-                     std::int64_t born,
-                     TimePoint now);
+  /// The runs of targets that leave. They are chosen only to ask their gates
+  /// whether they have ended.
+  LeavingRuns& Leaving() { return this->leaving_runs; }
 
  private:
   struct TargetState {
@@ -87,9 +87,6 @@
     TimePoint last_report_at;
     /// Calls sent since the last report.
     int calls_since_report = 0;
-    /// Start of the run that states that it leaves.
-    std::optional<std::int64_t> leaving_born;
-    TimePoint leaving_until;
     /// Moving average of the failures among the calls, from 0 to 1.
     double failure_fraction = 0;
     TimePoint last_failure_at;
@@ -97,7 +94,14 @@
     TimePoint backoff_until;
   };
 
-  bool IsLeaving(const MeshTarget& target, TimePoint now) const;
+  /// Whether the target may get a call now, at least one that asks its gate
+  /// whether it still leaves.
+  bool MayChoose(const MeshTarget& target, TimePoint now) const;
+  /// The target with the least expected completion time, or a random one.
+  const MeshTarget* FindBest(const std::vector<const MeshTarget*>& usable,
+                             const std::set<std::string>& excluded,
+                             double remote_penalty,
+                             TimePoint now);
   /// Time that the rate limit of a target is expected to delay a call, in
   /// seconds.
   static double PacingSeconds(const TargetState& state, TimePoint now);
@@ -108,6 +112,7 @@
   std::string data_centre;
   std::mt19937_64 random;
   std::unordered_map<std::string, TargetState> states;
+  LeavingRuns leaving_runs;
 };
 
 }  // namespace daisywinch
--- a/src/state/target_notices.cc
+++ b/src/state/target_notices.cc
@@ -1,5 +1,7 @@
 #include "state/target_notices.h"
 
+#include <algorithm>
+
 namespace daisywinch {
 
 namespace {
@@ -20,6 +22,7 @@
 }
 
 void TargetNotices::Record(const TargetNotice& notice,
+                           bool is_genuine,
                            TimePoint sent_at,
                            TimePoint now) {
   this->last_response_at = now;
@@ -32,11 +35,29 @@
   if (notice.is_leaving) {
     this->is_leaving = true;
     this->leaving_stated_at = now;
-  } else if (sent_at >= this->leaving_stated_at) {
+  } else if (this->is_leaving && is_genuine &&
+             this->possible_restart_at >= this->leaving_stated_at &&
+             sent_at >= this->possible_restart_at) {
     this->is_leaving = false;
+    this->has_run_ended = true;
   }
 }
 
+void TargetNotices::RecordReport(std::int64_t run_born, TimePoint now) {
+  const bool has_ended =
+      run_born < this->born || (run_born == this->born && this->has_run_ended);
+  if (has_ended || this->is_leaving) {
+    return;
+  }
+  this->is_leaving = true;
+  this->leaving_stated_at = now;
+}
+
+void TargetNotices::RecordPossibleRestart(TimePoint now) {
+  this->possible_restart_at =
+      std::max(now, this->possible_restart_at.value_or(now));
+}
+
 bool TargetNotices::NeedsCheck(TimePoint now) const {
   return (this->max_rate || this->is_leaving) &&
          now - this->last_response_at >= kCheckInterval;
--- a/tests/end_to_end/target_notice_test.cc
+++ b/tests/end_to_end/target_notice_test.cc
@@ -22,6 +22,13 @@
 constexpr double kTolerated = 1.5;
 constexpr double kToleratedRequests = 5;
 
+/// Time for which a target goes on serving after it has stated that it leaves.
+constexpr std::chrono::seconds kLeavingTime{8};
+/// Pause between requests, which keeps the customer within its rate.
+constexpr std::chrono::milliseconds kPause{30};
+/// Name of the event that a node logs when it learns that a target leaves.
+constexpr char kLeavingRunKnown[] = "leaving-run-known";
+
 struct TargetNoticeFixture {
   TargetNoticeFixture()
       : east(fleet.AddVm("east", "front")),
@@ -167,6 +174,50 @@
   this->CheckAvoided(this->east);
 }
 
+// Guards against requests to a target that takes many seconds to leave, after a
+// response of a kind that doesn't say so.
+BOOST_AUTO_TEST_CASE(leaving_target_is_avoided_until_its_run_ends) {
+  this->fleet.SetTargetBehaviour(this->east, "leaving=1&health_omits=1");
+  this->AwaitResponseOf(this->east);
+  const TimePoint end = BootTime::now() + kLeavingTime;
+  while (BootTime::now() < end) {
+    this->CheckAvoided(this->east);
+  }
+  // The record is away for a while and returns.
+  this->fleet.RemoveKey("servers/" + this->east.target_id);
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  this->fleet.PublishTarget(this->east, false, 2);
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  this->CheckAvoided(this->east);
+}
+
+// The new gate can't learn it from its target's health checks. The nodes that
+// have passed on a response of the target know it.
+BOOST_AUTO_TEST_CASE(restarted_node_hears_from_others_that_its_target_leaves) {
+  this->fleet.SetTargetBehaviour(this->east, "leaving=1&health_omits=1");
+  const std::vector<const MeshVm*> others = {&this->west, &this->back};
+  for (const MeshVm* vm : others) {
+    BOOST_REQUIRE(WaitUntil([&] {
+      this->SendLook(*vm);
+      std::this_thread::sleep_for(kPause);
+      return this->fleet.ReadNodeLog(*vm).find(kLeavingRunKnown) !=
+             std::string::npos;
+    }));
+  }
+  this->east.node_process->Signal(SIGKILL);
+  this->fleet.RunNode(this->east);
+  BOOST_REQUIRE(WaitUntil([&] { return this->fleet.IsReady(this->east); }));
+  const std::size_t before = this->CountRuns(this->east);
+  const TimePoint end = BootTime::now() + kLeavingTime;
+  while (BootTime::now() < end) {
+    for (const MeshVm* vm : others) {
+      BOOST_TEST(this->SendLook(*vm).result_int() == 200);
+    }
+    std::this_thread::sleep_for(kPause);
+  }
+  BOOST_TEST(this->CountRuns(this->east) == before);
+}
+
 BOOST_AUTO_TEST_CASE(next_run_of_a_target_that_left_gets_requests) {
   this->fleet.SetTargetBehaviour(this->east, "leaving=1");
   this->AwaitResponseOf(this->east);
--- a/tests/standins/attempt_target.cc
+++ b/tests/standins/attempt_target.cc
@@ -57,7 +57,9 @@
   if (target == "/health") {
     HttpResponse response(http::status::ok, 11);
     response.set(kInstanceId, this->id);
-    this->AddNotice(response);
+    if (!this->omits_notice_in_health) {
+      this->AddNotice(response);
+    }
     if (this->remaining_cold_time > Duration::zero()) {
       response.set(
           kColdStart,
@@ -181,6 +183,7 @@
     this->fails_requests = QueryNumber(target, "fails", 0) != 0;
     this->max_rate = QueryText(target, "max_rate").value_or("");
     this->is_leaving = QueryNumber(target, "leaving", 0) != 0;
+    this->omits_notice_in_health = QueryNumber(target, "health_omits", 0) != 0;
   } else {
     boost::json::array log;
     for (const std::shared_ptr<Run>& run : this->runs) {
--- a/tests/standins/attempt_target.h
+++ b/tests/standins/attempt_target.h
@@ -82,6 +82,8 @@
   std::string max_rate;
   /// States in all responses that it leaves.
   bool is_leaving = false;
+  /// Leaves what it states out of its responses to health checks.
+  bool omits_notice_in_health = false;
   int nested_call_count = 0;
 };
 
--- a/tests/state/mesh_decisions_test.cc
+++ b/tests/state/mesh_decisions_test.cc
@@ -153,28 +153,28 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(statement_of_a_target_holds_until_a_later_response) {
+BOOST_AUTO_TEST_CASE(rate_that_a_target_states_holds_until_a_later_response) {
   TargetNotices notices;
   MeshTarget target = MakeTarget("i-1", "east");
   target.born = 5;
   notices.UpdateRecord(target);
-  notices.Record({12.5, true}, kStart, kStart + milliseconds(50));
+  notices.Record({12.5, false}, true, kStart, kStart + milliseconds(50));
   // The response to an earlier request was delayed.
-  notices.Record({}, kStart + milliseconds(20), kStart + milliseconds(60));
+  notices.Record({}, true, kStart + milliseconds(20),
+                 kStart + milliseconds(60));
   BOOST_TEST(notices.MaxRate().value_or(0) == 12.5);
-  BOOST_TEST(notices.IsLeaving());
   BOOST_TEST(!notices.NeedsCheck(kStart + milliseconds(500)));
   BOOST_TEST(notices.NeedsCheck(kStart + milliseconds(1100)));
-  notices.Record({}, kStart + milliseconds(70), kStart + milliseconds(80));
+  notices.Record({}, true, kStart + milliseconds(70),
+                 kStart + milliseconds(80));
   BOOST_TEST(!notices.MaxRate().has_value());
-  BOOST_TEST(!notices.IsLeaving());
 }
 
 BOOST_AUTO_TEST_CASE(statement_of_a_target_ends_with_its_run) {
   TargetNotices notices;
   MeshTarget target = MakeTarget("i-1", "east");
   notices.UpdateRecord(target);
-  notices.Record({3.0, true}, kStart, kStart);
+  notices.Record({3.0, true}, true, kStart, kStart);
   target.sequence = 9;
   notices.UpdateRecord(target);
   BOOST_TEST(notices.IsLeaving());
@@ -191,7 +191,7 @@
   first.born = 5;
   const MeshTarget second = MakeTarget("i-2", "west");
   MeshLoadBalancer balancer("east", 1);
-  balancer.RecordLeaving("i-1", 5, kStart);
+  balancer.Leaving().RecordLeaving("i-1", 5, kStart);
   BOOST_TEST(ChooseMany(balancer, *MakeView({first, second}), 500,
                         milliseconds(500))["i-1"] == 0);
   BOOST_TEST(balancer.Choose(*MakeView({first}), "front", {}, milliseconds(500),
@@ -201,6 +201,29 @@
                         milliseconds(500))["i-1"] > 0);
 }
 
+// Guards against a target that leaves slowly and gets requests again after some
+// time. The only calls that it may get ask its gate, which refuses them.
+BOOST_AUTO_TEST_CASE(gate_of_a_run_that_leaves_is_asked_now_and_then) {
+  MeshTarget target = MakeTarget("i-1", "east");
+  target.born = 5;
+  const std::shared_ptr<const MeshView> view = MakeView({target});
+  MeshLoadBalancer balancer("east", 1);
+  balancer.Leaving().RecordLeaving("i-1", 5, kStart);
+  int count = 0;
+  for (TimePoint now = kStart; now < kStart + std::chrono::seconds(60);
+       now += milliseconds(10)) {
+    const bool is_chosen =
+        balancer.Choose(*view, "front", {}, milliseconds(500), now) != nullptr;
+    count += is_chosen ? 1 : 0;
+    BOOST_TEST(balancer.Leaving().IsLeaving(target));
+  }
+  BOOST_TEST(count > 0);
+  BOOST_TEST(count <= 12);
+  BOOST_TEST(balancer.Leaving().RecordEnd("i-1", 5));
+  BOOST_TEST(balancer.Choose(*view, "front", {}, milliseconds(500), kStart) !=
+             nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(calls_go_elsewhere_while_a_rate_limit_delays_them) {
   const std::shared_ptr<const MeshView> view =
       MakeView({MakeTarget("i-1", "east"), MakeTarget("i-2", "west")});
