Refuse queued calls once the record says that their target leaves

The same queue was emptied when the target itself stated that it leaves.

The gate asks one question, whether the target is out of service, for new and for queued calls alike. It refuses the queued ones as not run when a new view says so, which is looked at every 250 ms; their ingresses send them to other targets.

By mesh_path/queued_calls_do_not_wait_for_a_target_that_leaves, over real processes: before, all 5 queued calls waited until their time was over (reason 202); now they are refused as 204.

--- a/src/node/mesh_gate.cc
+++ b/src/node/mesh_gate.cc
@@ -96,9 +96,15 @@
       this->view->IsEvacuated(this->local_target->data_centre);
   this->view = std::move(newest);
   this->local_target = this->view->FindAt(this->target_address);
-  if (this->local_target == nullptr) {
-    return;
+  if (this->local_target != nullptr) {
+    this->ApplyRecord(was_evacuated);
   }
+  if (this->IsTargetOutOfService()) {
+    this->RefuseQueuedCalls(RefusalReason::kDraining);
+  }
+}
+
+void MeshGate::ApplyRecord(bool was_evacuated) {
   const TimePoint now = this->clock.Now();
   if (!this->target_known_at) {
     this->target_known_at = now;
@@ -137,15 +143,19 @@
          now - *this->target_known_at < kFirstResponseTimeout;
 }
 
+bool MeshGate::IsTargetOutOfService() const {
+  return this->local_target == nullptr || this->local_target->leaving ||
+         this->notices.IsLeaving() ||
+         this->view->IsEvacuated(this->local_target->data_centre);
+}
+
 RefusalReason MeshGate::ReasonToRefuse() const {
   if (this->local_target == nullptr) {
     return RefusalReason::kNotReady;
   }
-  const bool is_leaving =
-      this->draining || this->local_target->leaving ||
-      this->notices.IsLeaving() ||
-      this->view->IsEvacuated(this->local_target->data_centre);
-  return is_leaving ? RefusalReason::kDraining : RefusalReason::kNone;
+  return this->draining || this->IsTargetOutOfService()
+             ? RefusalReason::kDraining
+             : RefusalReason::kNone;
 }
 
 double MeshGate::UsableSlots() {
@@ -241,7 +251,7 @@
 void MeshGate::StartQueuedCalls() {
   const TimePoint now = this->clock.Now();
   this->UpdateAdmission(now);
-  if (this->notices.IsLeaving()) {
+  if (this->IsTargetOutOfService()) {
     this->RefuseQueuedCalls(RefusalReason::kDraining);
   }
   const GateAdmission::Released released = this->admission.ReleaseQueued(now);
--- a/src/node/mesh_gate.h
+++ b/src/node/mesh_gate.h
@@ -94,11 +94,15 @@
   enum class CallState { kQueued, kRunning };
 
   void RefreshView();
+  /// Applies the record of the local target in a new view.
+  void ApplyRecord(bool was_evacuated);
   /// Applies the state of the target to the admission.
   void UpdateAdmission(TimePoint now);
   /// Whether calls wait for the first response of the target to this process,
   /// which shows whether it is leaving, cold or states a maximum rate.
   bool IsAwaitingFirstResponse(TimePoint now) const;
+  /// Whether the target gets no calls, by its record or by what it states.
+  bool IsTargetOutOfService() const;
   /// Reason why the target gets no new calls, or kNone.
   RefusalReason ReasonToRefuse() const;
   /// Keeps `state` up to date.
--- a/tests/end_to_end/mesh_path_test.cc
+++ b/tests/end_to_end/mesh_path_test.cc
@@ -2,9 +2,13 @@
 #include <boost/test/unit_test.hpp>
 
 #include <csignal>
+#include <string>
 #include <thread>
+#include <vector>
 
+#include "state/refusal.h"
 #include "support/mesh_fleet.h"
+#include "support/parallel_calls.h"
 #include "support/test_fleet.h"
 
 namespace daisywinch::test {
@@ -217,6 +221,43 @@
   BOOST_TEST(this->fleet.GetRuns(this->east).size() == before);
 }
 
+// Guards against calls that wait for a slot and reach a target long after its
+// record says that it leaves.
+BOOST_AUTO_TEST_CASE(queued_calls_do_not_wait_for_a_target_that_leaves) {
+  constexpr int kUsedSlots = 19;
+  constexpr int kQueued = 5;
+  // Nested calls wait for half of the objective.
+  this->fleet.PublishConfiguration(2, MeshFleet::kSchoolKey, "4000ms");
+  this->fleet.SetTargetBehaviour(this->back, "hangs=1");
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  const auto send_calls = [this](const std::string& name, int count) {
+    std::vector<AddressedCall> calls;
+    for (int number = 0; number < count; ++number) {
+      Call call;
+      call.path = "/stock/1";
+      calls.push_back({this->west.caller_address,
+                       AddAttemptHeaders(call, name + std::to_string(number))});
+    }
+    return SendAll(calls);
+  };
+  std::thread running([&] { send_calls("running-", kUsedSlots); });
+  BOOST_TEST(WaitUntil(
+      [&] { return this->fleet.GetRuns(this->back).size() == kUsedSlots; }));
+  std::thread record([this] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    this->fleet.PublishTarget(this->back, true, 2);
+  });
+  const std::string leaving =
+      std::to_string(static_cast<std::uint32_t>(RefusalReason::kDraining));
+  for (const HttpResponse& response : send_calls("queued-", kQueued)) {
+    BOOST_TEST(response.result_int() == 503);
+    BOOST_TEST(std::string(response["X-Daisywinch-Reason"]) == leaving);
+  }
+  record.join();
+  running.join();
+  BOOST_TEST(this->fleet.GetRuns(this->back).size() == kUsedSlots);
+}
+
 BOOST_AUTO_TEST_CASE(evacuated_data_centre_gets_no_requests) {
   this->fleet.PutKey("op/evacuate/west", "{}");
   std::this_thread::sleep_for(std::chrono::milliseconds(500));
--- a/tests/support/mesh_fleet.cc
+++ b/tests/support/mesh_fleet.cc
@@ -196,18 +196,20 @@
 }
 
 void MeshFleet::PublishConfiguration(int version,
-                                     const std::string& school_key) {
+                                     const std::string& school_key,
+                                     const std::string& objective) {
   std::ostringstream text;
   text << std::hex;
   text.width(8);
   text.fill('0');
   text << version;
-  const auto route = [](const char* prefix, const char* kind,
-                        const char* service, int priority, bool is_open) {
+  const auto route = [&objective](const char* prefix, const char* kind,
+                                  const char* service, int priority,
+                                  bool is_open) {
     return boost::json::object{
         {"Host", kHost},        {"Prefix", prefix},
         {"Kind", kind},         {"Timeout", "2000ms"},
-        {"Priority", priority}, {"TargetLatency", "1000ms"},
+        {"Priority", priority}, {"TargetLatency", objective},
         {"Service", service},   {"MaxAttempts", 2},
         {"Public", is_open}};
   };
--- a/tests/support/mesh_fleet.h
+++ b/tests/support/mesh_fleet.h
@@ -72,7 +72,10 @@
   bool IsReady(const MeshVm& vm);
 
   /// Writes the configuration. An empty `school_key` withdraws the key.
-  void PublishConfiguration(int version, const std::string& school_key);
+  /// `objective` is the latency objective of all routes.
+  void PublishConfiguration(int version,
+                            const std::string& school_key,
+                            const std::string& objective = "1000ms");
   /// `sequence` counts the writes of the target's record.
   void PublishTarget(const MeshVm& vm, bool is_leaving, int sequence = 1);
   void PutKey(const std::string& key, const std::string& value);
