Let all ingresses of a test meet the target that leaves

target_notice/restarted_node_hears_from_others_that_its_target_leaves failed once of 4 runs of its suite: one ingress, in the other data centre, met the target by the 1.5% of calls that go to any target only, and in 10 s it may not. The other target sheds its requests meanwhile, so that all calls are redirected to the one that leaves.

--- a/tests/end_to_end/target_notice_test.cc
+++ b/tests/end_to_end/target_notice_test.cc
@@ -196,6 +196,8 @@
 BOOST_AUTO_TEST_CASE(restarted_node_hears_from_others_that_its_target_leaves) {
   this->fleet.SetTargetBehaviour(this->east, "leaving=1&health_omits=1");
   const std::vector<const MeshVm*> others = {&this->west, &this->back};
+  // Redirects all calls to the target that leaves.
+  this->fleet.SetTargetBehaviour(this->west, "sheds=1");
   for (const MeshVm* vm : others) {
     BOOST_REQUIRE(WaitUntil([&] {
       this->SendLook(*vm);
@@ -204,6 +206,7 @@
              std::string::npos;
     }));
   }
+  this->fleet.SetTargetBehaviour(this->west, "");
   this->east.node_process->Signal(SIGKILL);
   this->fleet.RunNode(this->east);
   BOOST_REQUIRE(WaitUntil([&] { return this->fleet.IsReady(this->east); }));
