--- a/src/state/target_notices.h
+++ b/src/state/target_notices.h
@@ -33,8 +33,8 @@
   /// Applies the record of the target; forgets what another run stated.
   void UpdateRecord(const MeshTarget& record);
   /// Applies the notice in a response to a request that was sent at `sent_at`.
-  /// `is_genuine` is set if the response certainly comes from the target, which
-  /// neither fails nor is misled about itself.
+  /// `is_genuine` says whether the response certainly comes from the target: it
+  /// is signed, or a healthy response to a health check that names the target.
   void Record(const TargetNotice& notice,
               bool is_genuine,
               TimePoint sent_at,
